Answer a search through real processes, end to end

Cause: a new project; nothing ran. The whole path comes first, thin: caller, entry host, owner host, target, and the operators' catalogue through the platform's store.

Ruled out: tiny_http, which the house style names. An accept error also ends its listener for good, and it has neither read timeouts nor a graceful stop. minreq for the store: its timeouts are whole seconds.

Change: crates by concern (catalogue, policy, protocol, http, platform, host, the binary, the lab). HTTP is served through hyper behind a synchronous interface, bounded in connections, requests, bodies and time; ureq calls the store and targets. Hosts are linked by one polling thread over TCP with postcard frames. The owner of a shard's replicas in a data centre, found by rendezvous hashing, alone talks to them.

`every_connection_of_a_burst_is_served` keeps it.

Conclusion: hyper stays, as the nearest kin that fits; the docs say so.

--- /dev/null
+++ b/crates/catalogue/src/catalogue.rs
@@ -0,0 +1,61 @@
+//! The whole catalogue and its reading.
+
+use serde::{Deserialize, Serialize};
+
+use crate::check::check;
+use crate::{DataCentre, Error, Member, Name, Result, Service};
+
+/// Every entry that operators keep.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Catalogue {
+    /// Organisations that share the tier.
+    pub members: Vec<Member>,
+    /// Data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// Services with their shards and targets.
+    pub services: Vec<Service>,
+}
+
+impl Catalogue {
+    /// Service of the given name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| &*s.name == name)
+    }
+
+    /// Member of the given name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|m| &*m.name == name)
+    }
+
+    /// Data centre of the given name.
+    pub fn data_centre(&self, name: &str) -> Option<&DataCentre> {
+        self.data_centres.iter().find(|d| &*d.name == name)
+    }
+
+    /// Names of all members.
+    pub fn member_names(&self) -> impl Iterator<Item = &Name> {
+        self.members.iter().map(|m| &m.name)
+    }
+
+    /// Checks every rule that a catalogue must satisfy.
+    ///
+    /// # Errors
+    ///
+    /// The first rule that is broken, with the path to the field.
+    pub fn check(&self) -> Result<()> {
+        check(self)
+    }
+}
+
+/// Reads a catalogue from JSON with comments and checks it.
+///
+/// # Errors
+///
+/// Syntax errors with line and column; broken rules with the path to the field.
+pub fn from_text(text: &str) -> Result<Catalogue> {
+    let reader = json_comments::StripComments::new(text.as_bytes());
+    let catalogue: Catalogue = serde_json::from_reader(reader).map_err(Error::syntax)?;
+    catalogue.check()?;
+    Ok(catalogue)
+}
--- /dev/null
+++ b/crates/catalogue/src/lib.rs
@@ -0,0 +1,56 @@
+//! The catalogue that operators keep.
+//!
+//! Every entry has an owner, a class and limits. The catalogue names the members, their
+//! services, the shards of each service, the targets that hold replicas of a shard and the
+//! data centres in which targets and entry hosts stand. Entry hosts route by it; operators
+//! steer by changing it.
+//!
+//! A catalogue is read from JSON with comments and checked before it is used:
+//!
+//! ```
+//! let text = r#"{
+//!     "members": [{ "name": "castlegate", "key": "0000" }],
+//!     "data_centres": [{ "name": "leith" }], // in service by default
+//!     "services": [{
+//!         "name": "clocks", "owner": "castlegate", "class": "search",
+//!         "limits": { "concurrency": 64, "deadline": "250ms" },
+//!         "shards": [{
+//!             "name": "0", "span": { "start": 0, "end": 65536 },
+//!             "targets": [{
+//!                 "name": "clocks-0-a", "address": "127.0.0.1:9001", "data_centre": "leith",
+//!                 "version": "v1", "slots": 4, "connections": 35, "cold": 1
+//!             }]
+//!         }]
+//!     }]
+//! }"#;
+//! let catalogue = sapphirerack_catalogue::from_text(text)?;
+//! assert_eq!(catalogue.services[0].shards.len(), 1);
+//! # Ok::<(), sapphirerack_catalogue::Error>(())
+//! ```
+//!
+//! # Modules
+//!
+//! - `catalogue`: the whole document and its reading
+//! - `member`, `service`, `target`, `data_centre`: its entries
+//! - `span`: parts of the partition space
+//! - `check`: what a catalogue must satisfy
+//! - `error`: the crate's error
+
+mod catalogue;
+mod check;
+mod data_centre;
+mod error;
+mod member;
+mod name;
+mod service;
+mod span;
+mod target;
+
+pub use crate::catalogue::{Catalogue, from_text};
+pub use crate::data_centre::{DataCentre, Presence};
+pub use crate::error::{Category, Error, Result};
+pub use crate::member::Member;
+pub use crate::name::{Map, Name, Set};
+pub use crate::service::{Limits, Service, Shard};
+pub use crate::span::{SPACE, Span};
+pub use crate::target::{Target, TargetState};
--- /dev/null
+++ b/crates/catalogue/src/name.rs
@@ -0,0 +1,12 @@
+//! Shared names and the collections keyed by them.
+
+use std::sync::Arc;
+
+/// Name of an entry, shared between threads without copying.
+pub type Name = Arc<str>;
+
+/// Hash map with the workspace's fast hasher.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+/// Hash set with the workspace's fast hasher.
+pub type Set<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
--- /dev/null
+++ b/crates/host/src/calls.rs
@@ -0,0 +1,155 @@
+//! Requests to other hosts and their replies.
+//!
+//! A reply reaches the request with its id only if it came from the peer that was asked. A reply
+//! that nobody waits for any more is dropped. Requests to the host itself skip the network.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use sapphirerack_catalogue::Map;
+use sapphirerack_protocol::{Message, Reply, Request};
+
+use crate::links::{LinkId, Links};
+
+/// A request to one peer, known to the asker by `index`.
+pub(crate) struct Call {
+    pub index: usize,
+    pub peer: SocketAddr,
+    pub request: Request,
+}
+
+/// Reply to a call; `None` if the link to the peer broke first.
+pub(crate) struct Answer {
+    pub index: usize,
+    pub reply: Option<Reply>,
+}
+
+/// Where the reply to a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ReplyTo {
+    /// To a call of this host.
+    Local(u64),
+    /// To another host: its link and its request id.
+    Link(LinkId, u64),
+}
+
+/// A request with the way back.
+pub(crate) struct Inbound {
+    pub request: Request,
+    pub reply_to: ReplyTo,
+}
+
+struct Pending {
+    peer: SocketAddr,
+    index: usize,
+    answers: flume::Sender<Answer>,
+}
+
+/// Open calls of this host.
+pub(crate) struct Calls {
+    own: SocketAddr,
+    links: Links,
+    inbound: flume::Sender<Inbound>,
+    next: AtomicU64,
+    pending: Mutex<Map<u64, Pending>>,
+}
+
+impl Calls {
+    /// Calls over `links`; requests to the address `own` go to `inbound`.
+    pub(crate) fn new(own: SocketAddr, links: Links, inbound: flume::Sender<Inbound>) -> Arc<Self> {
+        let next = AtomicU64::new(0);
+        Arc::new(Self {
+            own,
+            links,
+            inbound,
+            next,
+            pending: Mutex::default(),
+        })
+    }
+
+    /// Sends calls; their answers go to `answers`. Returns the ids, to withdraw them.
+    pub(crate) fn send(&self, calls: Vec<Call>, answers: &flume::Sender<Answer>) -> Vec<u64> {
+        let mut ids = Vec::with_capacity(calls.len());
+        let mut remote = Vec::with_capacity(calls.len());
+        for call in calls {
+            let id = self.register(&call, answers);
+            ids.push(id);
+            if call.peer == self.own {
+                // The receiver goes away only when the process ends.
+                let reply_to = ReplyTo::Local(id);
+                let _ = self.inbound.send(Inbound {
+                    request: call.request,
+                    reply_to,
+                });
+            } else {
+                remote.push((
+                    call.peer,
+                    Message::Request {
+                        id,
+                        body: call.request,
+                    },
+                ));
+            }
+        }
+        self.links.request(remote);
+        ids
+    }
+
+    /// Forgets calls whose answers are no longer wanted.
+    pub(crate) fn forget(&self, ids: &[u64]) {
+        let mut pending = self.pending();
+        for id in ids {
+            pending.remove(id);
+        }
+    }
+
+    /// Takes a reply that came from `peer`.
+    pub(crate) fn resolve(&self, id: u64, peer: SocketAddr, reply: Reply) {
+        let mut pending = self.pending();
+        if pending.get(&id).is_some_and(|p| p.peer == peer)
+            && let Some(call) = pending.remove(&id)
+        {
+            let _ = call.answers.send(Answer {
+                index: call.index,
+                reply: Some(reply),
+            });
+        }
+    }
+
+    /// Answers every call to `peer` with a broken link.
+    pub(crate) fn fail(&self, peer: SocketAddr) {
+        self.pending().retain(|_, call| {
+            if call.peer == peer {
+                let _ = call.answers.send(Answer {
+                    index: call.index,
+                    reply: None,
+                });
+            }
+            call.peer != peer
+        });
+    }
+
+    /// Sends the reply to a request that this host received.
+    pub(crate) fn reply(&self, to: ReplyTo, reply: Reply) {
+        match to {
+            ReplyTo::Local(id) => self.resolve(id, self.own, reply),
+            ReplyTo::Link(link, id) => self.links.reply(link, &Message::Reply { id, body: reply }),
+        }
+    }
+
+    fn register(&self, call: &Call, answers: &flume::Sender<Answer>) -> u64 {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let pending = Pending {
+            peer: call.peer,
+            index: call.index,
+            answers: answers.clone(),
+        };
+        self.pending().insert(id, pending);
+        id
+    }
+
+    fn pending(&self) -> std::sync::MutexGuard<'_, Map<u64, Pending>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry.rs
@@ -0,0 +1,137 @@
+//! Callers' HTTP.
+//!
+//! A fixed number of workers serves callers. A request that finds no worker is refused at once as
+//! not run, so that none waits unseen.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphirerack_catalogue::{Name, Span};
+use sapphirerack_http::{Config, Method, Request, Response, Server};
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::gather::{Gather, Gathered, Query};
+use crate::metrics::Metrics;
+use crate::settings::RequestLimits;
+use crate::{Error, Result};
+
+const SEARCH_PREFIX: &str = "/search/";
+const TIMEOUT_HEADER: &str = "x-timeout-ms";
+const ROUTE_HEADER: &str = "x-route";
+const DEFAULT_ROUTE: &str = "default";
+
+/// Answer as callers see it.
+#[derive(Serialize)]
+struct Body<'a> {
+    service: &'a str,
+    snapshot: u64,
+    coverage: f64,
+    complete: bool,
+    deadline_cut: bool,
+    parts: Vec<PartBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct PartBody<'a> {
+    shard: &'a str,
+    span: Span,
+    results: &'a RawValue,
+}
+
+/// Callers' front.
+pub(crate) struct Entry {
+    gather: Gather,
+    metrics: std::sync::Arc<Metrics>,
+    limits: RequestLimits,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        gather: Gather,
+        metrics: std::sync::Arc<Metrics>,
+        limits: RequestLimits,
+    ) -> Self {
+        Self {
+            gather,
+            metrics,
+            limits,
+        }
+    }
+
+    /// Serves callers at `address`.
+    pub(crate) fn serve(self, address: SocketAddr) -> Result<Server> {
+        let config = Config {
+            workers: self.limits.requests,
+            queue: self.limits.requests,
+            body: self.limits.body,
+            ..Config::new(address)
+        };
+        sapphirerack_http::serve(config, move |request| self.route(&request)).map_err(Error::http)
+    }
+
+    fn route(&self, request: &Request) -> Response {
+        match (&request.method, request.path.strip_prefix(SEARCH_PREFIX)) {
+            (&Method::POST, Some(service)) => self.search(request, service),
+            (_, Some(_)) => Response::refuse(405, "expected POST", true),
+            _ => Response::refuse(404, "unknown path", true),
+        }
+    }
+
+    fn search(&self, request: &Request, service: &str) -> Response {
+        match self.query(request, service) {
+            Ok(query) => self.run(&query),
+            Err(error) => Response::refuse(400, error, true),
+        }
+    }
+
+    fn query(&self, request: &Request, service: &str) -> std::result::Result<Query, &'static str> {
+        let timeout = match request.header(TIMEOUT_HEADER).map(str::parse) {
+            None => None,
+            Some(Ok(ms)) if ms > 0 => Some(Duration::from_millis(ms)),
+            Some(_) => return Err("x-timeout-ms: expected milliseconds above 0"),
+        };
+        let route = request.header(ROUTE_HEADER).unwrap_or(DEFAULT_ROUTE);
+        if route.len() > self.limits.header {
+            return Err("x-route: too long");
+        }
+        let route: Name = route.into();
+        Ok(Query {
+            service: service.into(),
+            route,
+            body: request.body.clone(),
+            timeout,
+        })
+    }
+
+    fn run(&self, query: &Query) -> Response {
+        match self.gather.search(query) {
+            Ok(gathered) => answer(query, &gathered),
+            Err(refusal) => {
+                let (status, reason) = refusal.describe();
+                self.metrics.refused(reason);
+                Response::refuse(status, reason, true)
+            }
+        }
+    }
+}
+
+fn answer(query: &Query, gathered: &Gathered) -> Response {
+    let parts = gathered.parts.iter().filter_map(|(shard, part)| {
+        let results: &RawValue = serde_json::from_str(&part.results).ok()?;
+        Some(PartBody {
+            shard,
+            span: part.span,
+            results,
+        })
+    });
+    let body = Body {
+        service: &query.service,
+        snapshot: gathered.snapshot,
+        coverage: gathered.coverage.fraction(),
+        complete: gathered.coverage.is_complete(),
+        deadline_cut: gathered.cut,
+        parts: parts.collect(),
+    };
+    Response::json(200, &body)
+}
--- /dev/null
+++ b/crates/host/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and histograms, by member and class, in the Prometheus text format.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::{Error, Result};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.010, 0.015, 0.020, 0.030, 0.040, 0.053, 0.075, 0.1, 0.25, 0.5, 1.0,
+];
+
+/// Upper bounds of the coverage buckets, as fractions.
+const COVERAGE_BOUNDS: [f64; 7] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.99, 0.999_999];
+
+/// Instruments of one host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    coverage: Histogram<f64>,
+    refusals: Counter<u64>,
+    sub_queries: Counter<u64>,
+    extra: Counter<u64>,
+}
+
+/// Whose traffic a measurement belongs to.
+pub(crate) struct Labels([KeyValue; 2]);
+
+impl Labels {
+    /// Labels for a service's owner and class.
+    pub(crate) fn new(member: &str, class: &str) -> Self {
+        let member = KeyValue::new("member", member.to_owned());
+        Self([member, KeyValue::new("class", class.to_owned())])
+    }
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::metrics(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sapphirerack");
+        let histogram = |name: &'static str, bounds: &[f64]| {
+            meter
+                .f64_histogram(name)
+                .with_boundaries(bounds.to_vec())
+                .build()
+        };
+        Ok(Self {
+            latency: histogram("query_latency_seconds", &LATENCY_BOUNDS),
+            coverage: histogram("query_coverage", &COVERAGE_BOUNDS),
+            refusals: meter.u64_counter("refusals").build(),
+            sub_queries: meter.u64_counter("sub_queries").build(),
+            extra: meter.u64_counter("extra_sub_queries").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records an answered query.
+    pub(crate) fn answered(&self, labels: &Labels, seconds: f64, coverage: f64) {
+        self.latency.record(seconds, &labels.0);
+        self.coverage.record(coverage, &labels.0);
+    }
+
+    /// Records the sub-queries of a query and those beyond the first for a shard.
+    pub(crate) fn sub_queries(&self, labels: &Labels, count: u64, extra: u64) {
+        self.sub_queries.add(count, &labels.0);
+        self.extra.add(extra, &labels.0);
+    }
+
+    /// Records a refusal.
+    pub(crate) fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("step=metrics error={e}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/host/src/operators.rs
@@ -0,0 +1,156 @@
+//! Operators' HTTP: the catalogue, status, metrics and health.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sapphirerack_catalogue::{Catalogue, Name};
+use sapphirerack_http::{Method, Request, Response, Server};
+use sapphirerack_platform::{Category, Store};
+use serde::Serialize;
+
+use crate::config::{Config, HEAD_KEY, Head, View, parse};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::{Error, Result};
+
+/// Largest catalogue that an operator may send, in bytes.
+const CATALOGUE_LIMIT: usize = 1 << 20;
+const CHANGE_HEADER: &str = "x-change-id";
+
+#[derive(Serialize)]
+struct Status<'a> {
+    host: &'a str,
+    data_centre: &'a str,
+    version: u64,
+    ready: bool,
+    live_hosts: usize,
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    version: u64,
+}
+
+#[derive(Serialize)]
+struct InForce<'a> {
+    version: u64,
+    catalogue: &'a Catalogue,
+}
+
+/// Operators' front.
+pub(crate) struct Operators {
+    config: Arc<Config>,
+    peers: Arc<Peers>,
+    metrics: Arc<Metrics>,
+    store: Store,
+}
+
+impl Operators {
+    pub(crate) fn new(
+        config: Arc<Config>,
+        peers: Arc<Peers>,
+        metrics: Arc<Metrics>,
+        store: Store,
+    ) -> Self {
+        Self {
+            config,
+            peers,
+            metrics,
+            store,
+        }
+    }
+
+    /// Serves operators at `address`.
+    pub(crate) fn serve(self, address: SocketAddr) -> Result<Server> {
+        let config = sapphirerack_http::Config {
+            body: CATALOGUE_LIMIT,
+            ..sapphirerack_http::Config::new(address)
+        };
+        sapphirerack_http::serve(config, move |request| self.route(&request)).map_err(Error::http)
+    }
+
+    fn route(&self, request: &Request) -> Response {
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
+            (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, "/metrics") => Response::text(200, self.metrics.text()),
+            (&Method::GET, "/status") => self.status(),
+            (&Method::GET, "/catalogue") => self.get(),
+            (&Method::PUT, "/catalogue") => self.put(request),
+            _ => Response::refuse(404, "unknown path", true),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        if self.config.view().version == 0 {
+            return Response::text(503, "no configuration yet\n");
+        }
+        Response::text(200, "ready\n")
+    }
+
+    fn status(&self) -> Response {
+        let version = self.config.view().version;
+        let own = self.peers.own();
+        let status = Status {
+            host: &own.name,
+            data_centre: &own.data_centre,
+            version,
+            ready: version > 0,
+            live_hosts: self.peers.live().len(),
+        };
+        Response::json(200, &status)
+    }
+
+    fn get(&self) -> Response {
+        let view = self.config.view();
+        Response::json(
+            200,
+            &InForce {
+                version: view.version,
+                catalogue: &view.catalogue,
+            },
+        )
+    }
+
+    fn put(&self, request: &Request) -> Response {
+        let Some(change) = request.header(CHANGE_HEADER).map(Name::from) else {
+            return Response::refuse(400, "x-change-id: expected a unique id", true);
+        };
+        let text = String::from_utf8_lossy(&request.body);
+        match sapphirerack_catalogue::from_text(&text) {
+            Ok(catalogue) => self.swap(change, catalogue),
+            Err(e) => Response::refuse(400, &e.to_string(), true),
+        }
+    }
+
+    fn swap(&self, change: Name, catalogue: Catalogue) -> Response {
+        let current = match self.store.get(HEAD_KEY) {
+            Ok(current) => current,
+            Err(e) => return Response::refuse(503, &e.to_string(), true),
+        };
+        let stored = current.as_ref().map_or(0, |v| v.version);
+        let version = current.as_ref().and_then(parse).map_or(0, |h| h.version) + 1;
+        let head = Head {
+            version,
+            change,
+            catalogue,
+        };
+        let bytes = match serde_json::to_vec(&head) {
+            Ok(bytes) => bytes,
+            Err(e) => return Response::refuse(500, &e.to_string(), true),
+        };
+        match self.store.swap(HEAD_KEY, stored, &bytes) {
+            Ok(_) => {
+                self.config.adopt(View {
+                    version,
+                    catalogue: head.catalogue,
+                });
+                Response::json(200, &Accepted { version })
+            }
+            Err(e) if e.classify() == Category::Conflict => {
+                Response::refuse(409, &e.to_string(), true)
+            }
+            Err(e) => Response::refuse(503, &e.to_string(), false),
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,120 @@
+//! What an operator sets for one host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphirerack_catalogue::Name;
+use serde::Deserialize;
+
+use crate::{Error, Result};
+
+/// Settings of one entry host.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of the host.
+    pub name: Name,
+    /// Data centre in which the host stands.
+    pub data_centre: Name,
+    /// Addresses that the host listens on.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Limits on callers' requests.
+    #[serde(default)]
+    pub limits: RequestLimits,
+    /// Log level: off, error, warn, info, debug or trace.
+    #[serde(default = "default_log")]
+    pub log: Name,
+}
+
+/// Addresses that a host listens on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Operators' HTTP, metrics and health.
+    pub operators: SocketAddr,
+    /// Links from other hosts.
+    pub hosts: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// HTTP address.
+    pub address: SocketAddr,
+    /// Time after which a call is given up.
+    #[serde(with = "humantime_serde", default = "default_timeout")]
+    pub timeout: Duration,
+}
+
+/// Limits on callers' requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RequestLimits {
+    /// Requests in hand at the same time.
+    pub requests: usize,
+    /// Largest body, in bytes.
+    pub body: usize,
+    /// Longest header value that the host reads, in bytes.
+    pub header: usize,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            requests: 128,
+            body: 64 << 10,
+            header: 256,
+        }
+    }
+}
+
+fn default_log() -> Name {
+    "info".into()
+}
+
+fn default_timeout() -> Duration {
+    Duration::from_millis(500)
+}
+
+/// Reads settings from JSON with comments and checks them.
+///
+/// # Errors
+///
+/// Syntax errors with line and column; broken rules with the path to the field.
+pub fn from_text(text: &str) -> Result<Settings> {
+    let reader = json_comments::StripComments::new(text.as_bytes());
+    let settings: Settings = serde_json::from_reader(reader).map_err(Error::syntax)?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &Settings) -> Result<()> {
+    if settings.name.is_empty() {
+        return Err(Error::rule("name: empty, expected a unique name".into()));
+    }
+    let limits = &settings.limits;
+    let fields = [
+        ("requests", limits.requests),
+        ("body", limits.body),
+        ("header", limits.header),
+    ];
+    for (field, value) in fields {
+        if value == 0 {
+            return Err(Error::rule(format!(
+                "limits.{field}: 0, expected 1 or more"
+            )));
+        }
+    }
+    if settings.log.parse::<log::LevelFilter>().is_err() {
+        let found = &settings.log;
+        return Err(Error::rule(format!(
+            "log: {found:?}, expected a level such as \"info\""
+        )));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,265 @@
+//! The server.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use std::{io, net};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Semaphore, watch};
+
+use crate::{Config, Error, Request, Response, Result};
+
+/// Pause after an accept error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A request on its way to a worker.
+struct Job {
+    request: Request,
+    reply: flume::Sender<Response>,
+}
+
+/// A running server; dropping it stops it at once.
+pub struct Server {
+    address: SocketAddr,
+    stop: watch::Sender<Option<Duration>>,
+    done: flume::Receiver<bool>,
+}
+
+impl Server {
+    /// Address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts nothing new and finishes what it has; true if that took no longer than `limit`.
+    pub fn stop(&self, limit: Duration) -> bool {
+        self.stop.send_replace(Some(limit));
+        self.done.recv().unwrap_or(false)
+    }
+}
+
+/// Starts a server; `handler` runs on its workers.
+///
+/// # Errors
+///
+/// The address can't be listened on, or a thread can't be started.
+pub fn serve(
+    config: Config,
+    handler: impl Fn(Request) -> Response + Send + Sync + 'static,
+) -> Result<Server> {
+    let wanted = config.address;
+    let failed = |step| move |e| Error::new(step, wanted, e);
+    let listener = net::TcpListener::bind(wanted).map_err(failed("listen"))?;
+    let address = listener.local_addr().map_err(failed("listen"))?;
+    listener.set_nonblocking(true).map_err(failed("listen"))?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(failed("start runtime"))?;
+    let (jobs, queue) = flume::bounded(config.queue);
+    start_workers(config.workers, &queue, handler).map_err(failed("start worker"))?;
+    let (stop, stopping) = watch::channel(None);
+    let (finished, done) = flume::bounded(1);
+    let front = Front {
+        config,
+        jobs,
+        stopping,
+    };
+    let run = move || run(&runtime, front, listener, &finished);
+    let thread = thread::Builder::new().name("http".into()).spawn(run);
+    thread.map_err(failed("start thread"))?;
+    Ok(Server {
+        address,
+        stop,
+        done,
+    })
+}
+
+fn start_workers(
+    count: usize,
+    queue: &flume::Receiver<Job>,
+    handler: impl Fn(Request) -> Response + Send + Sync + 'static,
+) -> io::Result<()> {
+    let handler = Arc::new(handler);
+    for _ in 0..count {
+        let (queue, handler) = (queue.clone(), handler.clone());
+        let run = move || {
+            for job in queue {
+                // The caller may have gone away.
+                let _ = job.reply.send(guarded(&*handler, job.request));
+            }
+        };
+        thread::Builder::new()
+            .name("http-worker".into())
+            .spawn(run)?;
+    }
+    Ok(())
+}
+
+/// Runs the handler; a panic in it costs the request, not the worker.
+fn guarded(handler: impl Fn(Request) -> Response, request: Request) -> Response {
+    let path = request.path.clone();
+    catch_unwind(AssertUnwindSafe(|| handler(request))).unwrap_or_else(|_| {
+        log::error!("step=handle path={path} error=panic");
+        Response::refuse(500, "internal error", false)
+    })
+}
+
+fn run(
+    runtime: &Runtime,
+    front: Front,
+    listener: net::TcpListener,
+    finished: &flume::Sender<bool>,
+) {
+    let clean = runtime.block_on(async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => Arc::new(front).accept(listener).await,
+            Err(e) => {
+                log::error!("step=listen error={e}");
+                false
+            }
+        }
+    });
+    // Nobody waits if the server was dropped.
+    let _ = finished.send(clean);
+}
+
+struct Front {
+    config: Config,
+    jobs: flume::Sender<Job>,
+    stopping: watch::Receiver<Option<Duration>>,
+}
+
+impl Front {
+    /// Accepts connections until the server stops; true if all of them ended in time.
+    async fn accept(self: Arc<Self>, listener: TcpListener) -> bool {
+        let places = Arc::new(Semaphore::new(self.config.connections));
+        let graceful = GracefulShutdown::new();
+        let mut stopping = self.stopping.clone();
+        loop {
+            let next = async {
+                let place = places.clone().acquire_owned().await;
+                (listener.accept().await, place)
+            };
+            let (accepted, place) = match cancelled(next, stopping.changed()).await {
+                Some(next) => next,
+                None => break,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let connection = self.clone().connection(stream);
+                    let connection = graceful.watch(connection);
+                    tokio::spawn(async move {
+                        if let Err(e) = connection.await {
+                            log::debug!("step=connection error={e}");
+                        }
+                        drop(place);
+                    });
+                }
+                Err(e) => {
+                    log::warn!("step=accept error={e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(listener);
+        let limit = stopping.borrow().unwrap_or_default();
+        tokio::time::timeout(limit, graceful.shutdown())
+            .await
+            .is_ok()
+    }
+
+    fn connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+    ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> {
+        // Without it an answer of several segments waits for a delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let patience = self.config.patience;
+        let service = service_fn(move |request| self.clone().answer(request));
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(patience);
+        builder.serve_connection(TokioIo::new(stream), service)
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: hyper::Request<Incoming>,
+    ) -> std::result::Result<hyper::Response<Full<Bytes>>, Infallible> {
+        let response = match self.read(request).await {
+            Ok(request) => self.hand_over(request).await,
+            Err(refusal) => refusal,
+        };
+        Ok(encode(response))
+    }
+
+    async fn read(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> std::result::Result<Request, Response> {
+        let received = Instant::now();
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, self.config.body).collect();
+        let body = match tokio::time::timeout(self.config.patience, body).await {
+            Ok(Ok(body)) => body.to_bytes().to_vec(),
+            Ok(Err(_)) => return Err(Response::refuse(413, "body too large or cut off", true)),
+            Err(_) => return Err(Response::refuse(408, "body came too slowly", true)),
+        };
+        Ok(Request {
+            method: head.method,
+            path: head.uri.path().to_owned(),
+            query: head.uri.query().unwrap_or_default().to_owned(),
+            headers: head.headers,
+            body,
+            received,
+        })
+    }
+
+    async fn hand_over(&self, request: Request) -> Response {
+        let (reply, response) = flume::bounded(1);
+        if self.jobs.try_send(Job { request, reply }).is_err() {
+            return Response::refuse(503, "too many requests in hand", true);
+        }
+        let lost = |_| Response::refuse(500, "internal error", false);
+        response.recv_async().await.unwrap_or_else(lost)
+    }
+}
+
+/// Result of `work`, or `None` if `stop` is done first.
+async fn cancelled<T>(work: impl Future<Output = T>, stop: impl Future) -> Option<T> {
+    let mut work = std::pin::pin!(work);
+    let mut stop = std::pin::pin!(stop);
+    std::future::poll_fn(|cx| {
+        if stop.as_mut().poll(cx).is_ready() {
+            return std::task::Poll::Ready(None);
+        }
+        work.as_mut().poll(cx).map(Some)
+    })
+    .await
+}
+
+fn encode(response: Response) -> hyper::Response<Full<Bytes>> {
+    let mut encoded = hyper::Response::new(Full::new(Bytes::from(response.body)));
+    let status = hyper::StatusCode::from_u16(response.status);
+    *encoded.status_mut() = status.unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    for (name, value) in response.headers {
+        match HeaderValue::from_str(&value) {
+            Ok(value) => drop(encoded.headers_mut().insert(name, value)),
+            Err(e) => log::warn!("step=encode header={name} error={e}"),
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/crates/http/tests/server.rs
@@ -0,0 +1,153 @@
+//! What a server owes its callers, over real sockets.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use sapphirerack_http::{Config, Response, Server, serve};
+
+fn config() -> Config {
+    Config::new("127.0.0.1:0".parse().unwrap())
+}
+
+fn echo(config: Config) -> Server {
+    serve(config, |request| Response::text(200, request.body)).unwrap()
+}
+
+fn url(server: &Server) -> String {
+    format!("http://{}/", server.address())
+}
+
+/// With `tiny_http` some connections of a burst were left without a thread.
+#[test]
+fn every_connection_of_a_burst_is_served() {
+    let server = echo(config());
+
+    let connect = |_| TcpStream::connect(server.address()).unwrap();
+    let mut streams: Vec<TcpStream> = (0..200).map(connect).collect();
+    for stream in &mut streams {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            .unwrap();
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).unwrap();
+
+        assert_eq!(&head, b"HTTP/1.1 200");
+    }
+}
+
+#[test]
+fn body_above_the_limit_is_refused_as_not_run() {
+    let server = echo(Config {
+        body: 10,
+        ..config()
+    });
+
+    let response = minreq::post(url(&server))
+        .with_body(vec![0; 11])
+        .send()
+        .unwrap();
+
+    assert_eq!(response.status_code, 413);
+    assert!(response.as_str().unwrap().contains("\"not_run\":true"));
+}
+
+#[test]
+fn slow_sender_is_dropped() {
+    let patience = Duration::from_millis(50);
+    let server = echo(Config {
+        patience,
+        ..config()
+    });
+
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    stream.write_all(b"GET / HT").unwrap();
+    let mut rest = Vec::new();
+
+    // The server closes the connection, so that the read ends.
+    stream.read_to_end(&mut rest).unwrap();
+}
+
+#[test]
+fn panic_in_the_handler_costs_one_request() {
+    let config = Config {
+        workers: 1,
+        ..config()
+    };
+    let server = serve(config, |request| {
+        assert!(request.body.is_empty(), "refused by the test");
+        Response::text(200, "")
+    })
+    .unwrap();
+
+    let failed = minreq::post(url(&server)).with_body("x").send().unwrap();
+    let served = minreq::post(url(&server)).send().unwrap();
+
+    assert_eq!((failed.status_code, served.status_code), (500, 200));
+}
+
+#[test]
+fn full_queue_refuses_as_not_run() {
+    let config = Config {
+        workers: 1,
+        queue: 1,
+        ..config()
+    };
+    let (entered, running) = mpsc::channel();
+    let (release, gate) = flume::bounded::<()>(0);
+    let server = serve(config, move |_| {
+        entered.send(()).unwrap();
+        let _ = gate.recv();
+        Response::text(200, "")
+    })
+    .unwrap();
+    let url = url(&server);
+    let post = || {
+        let url = url.clone();
+        std::thread::spawn(move || minreq::post(url).send().unwrap())
+    };
+
+    let first = post();
+    running.recv().unwrap();
+    // One of these two waits in the queue; the other finds it full.
+    let others = [post(), post()];
+    while !others.iter().any(std::thread::JoinHandle::is_finished) {
+        std::thread::yield_now();
+    }
+    drop(release);
+    let mut codes: Vec<_> = others.map(|t| t.join().unwrap().status_code).to_vec();
+    codes.sort_unstable();
+
+    assert_eq!(first.join().unwrap().status_code, 200);
+    assert_eq!(codes, [200, 503]);
+}
+
+#[test]
+fn stop_finishes_what_is_in_hand() {
+    let (entered, running) = mpsc::channel();
+    let (release, gate) = flume::bounded::<()>(0);
+    let server = serve(config(), move |_| {
+        entered.send(()).unwrap();
+        let _ = gate.recv();
+        Response::text(200, "whole")
+    })
+    .unwrap();
+    let address = url(&server);
+
+    let caller = std::thread::spawn(move || minreq::get(address).send().unwrap());
+    running.recv().unwrap();
+    let stopper = std::thread::spawn(move || server.stop(Duration::from_secs(20)));
+    drop(release);
+
+    assert_eq!(caller.join().unwrap().as_str().unwrap(), "whole");
+    assert!(stopper.join().unwrap(), "all connections ended in time");
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,85 @@
+//! The crate's error.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// Result of this crate's functions.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Coarse kind of an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Category {
+    /// No answer; the call may have taken effect.
+    Unreachable,
+    /// The peer refused; the call had no effect.
+    Refused,
+    /// A compare-and-swap found another version; the call had no effect.
+    Conflict,
+    /// The answer is not what the interface promises.
+    Malformed,
+}
+
+/// Why a call failed, with the step and the peer.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    step: &'static str,
+    peer: Arc<str>,
+    code: Code,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Code {
+    #[error("{0}")]
+    Unreachable(String),
+    #[error("refused with status {0}")]
+    Refused(u16),
+    #[error("version conflict")]
+    Conflict,
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+impl Error {
+    #[cold]
+    pub(crate) fn new(step: &'static str, peer: &Arc<str>, code: Code) -> Self {
+        Self(Box::new(Inner {
+            step,
+            peer: peer.clone(),
+            code,
+        }))
+    }
+
+    /// Coarse kind of the error.
+    pub fn classify(&self) -> Category {
+        match self.0.code {
+            Code::Unreachable(_) => Category::Unreachable,
+            Code::Refused(_) => Category::Refused,
+            Code::Conflict => Category::Conflict,
+            Code::Malformed(_) => Category::Malformed,
+        }
+    }
+
+    /// Status with which the peer refused.
+    pub fn status(&self) -> Option<u16> {
+        match self.0.code {
+            Code::Refused(status) => Some(status),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {}: {}", self.0.step, self.0.peer, self.0.code)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,51 @@
+//! What the HTTP clients share.
+
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use ureq::typestate::{WithBody, WithoutBody};
+use ureq::{Agent, RequestBuilder};
+
+use crate::error::Code;
+
+/// Response whose body has not been read.
+pub(crate) type Response = ureq::http::Response<ureq::Body>;
+
+/// Response of any status, or why there is none.
+pub(crate) type Answer = Result<Response, Code>;
+
+/// Agent that keeps up to `idle` connections.
+pub(crate) fn agent(idle: usize) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(idle)
+        .build();
+    config.into()
+}
+
+/// Sends a request that has no body.
+pub(crate) fn fetch(request: RequestBuilder<WithoutBody>, timeout: Duration) -> Answer {
+    let request = request.config().timeout_global(Some(timeout)).build();
+    request.call().map_err(|e| Code::Unreachable(e.to_string()))
+}
+
+/// Sends a request with a body.
+pub(crate) fn send(request: RequestBuilder<WithBody>, timeout: Duration, body: &[u8]) -> Answer {
+    let request = request.config().timeout_global(Some(timeout)).build();
+    request
+        .send(body)
+        .map_err(|e| Code::Unreachable(e.to_string()))
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(crate) fn bytes(response: &mut Response, limit: u64) -> Result<Vec<u8>, Code> {
+    let body = response.body_mut().with_config().limit(limit).read_to_vec();
+    body.map_err(|e| Code::Unreachable(e.to_string()))
+}
+
+/// Reads a JSON body of at most `limit` bytes.
+pub(crate) fn json<T: DeserializeOwned>(response: &mut Response, limit: u64) -> Result<T, Code> {
+    let body = bytes(response, limit)?;
+    serde_json::from_slice(&body).map_err(|e| Code::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/policy/src/coverage.rs
@@ -0,0 +1,38 @@
+//! Which partitions an answer holds.
+//!
+//! Coverage is a sum of disjoint spans. A span that overlaps one already held is refused, as its
+//! results would stand twice in the answer.
+
+use sapphirerack_catalogue::{SPACE, Span};
+
+/// Disjoint spans that an answer holds.
+#[derive(Clone, Debug, Default)]
+pub struct Coverage {
+    spans: Vec<Span>,
+}
+
+impl Coverage {
+    /// Adds a span; returns false, and changes nothing, if it is invalid or overlaps.
+    pub fn add(&mut self, span: Span) -> bool {
+        if !span.is_valid() || self.spans.iter().any(|s| s.overlaps(span)) {
+            return false;
+        }
+        self.spans.push(span);
+        true
+    }
+
+    /// Number of partitions held.
+    pub fn partitions(&self) -> u32 {
+        self.spans.iter().map(|s| s.len()).sum()
+    }
+
+    /// Share of the partition space held, 0 to 1.
+    pub fn fraction(&self) -> f64 {
+        f64::from(self.partitions()) / f64::from(SPACE)
+    }
+
+    /// Whether the whole partition space is held.
+    pub fn is_complete(&self) -> bool {
+        self.partitions() == SPACE
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of sapphirerack.
+//!
+//! Nothing here does I/O or reads a clock of its own: the caller passes the time in, so that
+//! every decision can be tested with fixed seeds and an injected clock.
+//!
+//! ```
+//! use sapphirerack_catalogue::Span;
+//! use sapphirerack_policy::Coverage;
+//!
+//! let mut coverage = Coverage::default();
+//! assert!(coverage.add(Span::new(0, 32_768)));
+//! assert!(!coverage.add(Span::new(16_384, 32_768)), "overlapping parts are refused");
+//! assert_eq!(coverage.fraction(), 0.5);
+//! ```
+//!
+//! # Modules
+//!
+//! - `clock`: the time as an interface
+//! - `coverage`: which partitions an answer holds
+//! - `rendezvous`: which host owns a key
+//! - `route`: which hosts a sub-query is sent to
+//! - `snapshot`: which index snapshot a query is pinned to
+
+mod clock;
+mod coverage;
+mod rendezvous;
+mod route;
+mod snapshot;
+
+pub use crate::clock::{Clock, SystemClock};
+pub use crate::coverage::Coverage;
+pub use crate::rendezvous::rank;
+pub use crate::route::{Host, owners};
+pub use crate::snapshot::{Held, SnapshotId, choose};
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,27 @@
+//! Messages between entry hosts and their framing.
+//!
+//! Messages are encoded with postcard. On a TCP link each stands in a frame: its length as four
+//! bytes, least significant first, then the message. Frames above [`FRAME_LIMIT`] end the link.
+//!
+//! ```
+//! use sapphirerack_protocol::{Decoder, Message, encode};
+//!
+//! let mut decoder = Decoder::default();
+//! decoder.push(&encode(&Message::Cancel { id: 7 })?);
+//! assert_eq!(decoder.next()?, Some(Message::Cancel { id: 7 }));
+//! # Ok::<(), sapphirerack_protocol::Error>(())
+//! ```
+//!
+//! # Modules
+//!
+//! - `message`: what hosts say to each other
+//! - `frame`: encoding, and cutting a stream into messages
+//! - `error`: the crate's error
+
+mod error;
+mod frame;
+mod message;
+
+pub use crate::error::{Category, Error, Result};
+pub use crate::frame::{Decoder, FRAME_LIMIT, encode};
+pub use crate::message::{Failure, Message, Part, Reply, Request, SubQuery, SubReply};
