--- a/crates/catalogue/src/check.rs
+++ b/crates/catalogue/src/check.rs
@@ -8,10 +8,7 @@
 /// Checks all rules; stops at the first that is broken.
 pub(crate) fn check(catalogue: &Catalogue) -> Result<()> {
     unique("members", catalogue.members.iter().map(|m| &m.name))?;
-    unique(
-        "data_centres",
-        catalogue.data_centres.iter().map(|d| &d.name),
-    )?;
+    unique("data_centres", catalogue.data_centres.iter().map(|d| &d.name))?;
     unique("services", catalogue.services.iter().map(|s| &s.name))?;
     for (i, service) in catalogue.services.iter().enumerate() {
         check_service(catalogue, service, &format!("services[{i}]"))?;
@@ -25,11 +22,7 @@
         check_name(name, &format!("{path}[{i}].name"))?;
         if !seen.insert(name) {
             let found = format!("{name:?} appears twice");
-            return Err(Error::rule(
-                format!("{path}[{i}].name"),
-                found,
-                "unique names",
-            ));
+            return Err(Error::rule(format!("{path}[{i}].name"), found, "unique names"));
         }
     }
     Ok(())
@@ -48,28 +41,17 @@
     check_name(&service.class, &format!("{path}.class"))?;
     if catalogue.member(&service.owner).is_none() {
         let found = format!("{:?}", service.owner);
-        return Err(Error::rule(
-            format!("{path}.owner"),
-            found,
-            "the name of a member",
-        ));
+        return Err(Error::rule(format!("{path}.owner"), found, "the name of a member"));
     }
     check_limits(&service.limits, path)?;
-    unique(
-        &format!("{path}.shards"),
-        service.shards.iter().map(|s| &s.name),
-    )?;
+    unique(&format!("{path}.shards"), service.shards.iter().map(|s| &s.name))?;
     check_spans(&service.shards, path)
 }
 
 fn check_limits(limits: &Limits, path: &str) -> Result<()> {
     positive(limits.concurrency, &format!("{path}.limits.concurrency"))?;
     if limits.deadline.is_zero() {
-        return Err(Error::rule(
-            format!("{path}.limits.deadline"),
-            "0",
-            "a deadline above 0",
-        ));
+        return Err(Error::rule(format!("{path}.limits.deadline"), "0", "a deadline above 0"));
     }
     Ok(())
 }
@@ -91,11 +73,7 @@
         let field = || format!("{path}.shards[{i}].span");
         if !span.is_valid() {
             let found = format!("{}..{}", span.start, span.end);
-            return Err(Error::rule(
-                field(),
-                found,
-                "a non-empty span within 0..65536",
-            ));
+            return Err(Error::rule(field(), found, "a non-empty span within 0..65536"));
         }
         if span.start < next {
             let found = format!("overlap at partition {}", span.start);
@@ -109,11 +87,7 @@
     }
     if next != SPACE {
         let found = format!("partitions {next}..{SPACE} missing");
-        return Err(Error::rule(
-            format!("{path}.shards"),
-            found,
-            "shards without gaps",
-        ));
+        return Err(Error::rule(format!("{path}.shards"), found, "shards without gaps"));
     }
     Ok(())
 }
@@ -148,11 +122,7 @@
     positive(target.cold, &format!("{path}.cold"))?;
     if target.cold > target.slots {
         let found = target.cold.to_string();
-        return Err(Error::rule(
-            format!("{path}.cold"),
-            found,
-            "at most the target's slots",
-        ));
+        return Err(Error::rule(format!("{path}.cold"), found, "at most the target's slots"));
     }
     Ok(())
 }
--- a/crates/catalogue/src/error.rs
+++ b/crates/catalogue/src/error.rs
@@ -22,11 +22,7 @@
     #[error("read catalogue: {0}")]
     Syntax(#[source] serde_json::Error),
     #[error("check catalogue: {path}: {found}, expected {expected}")]
-    Rule {
-        path: String,
-        found: String,
-        expected: &'static str,
-    },
+    Rule { path: String, found: String, expected: &'static str },
 }
 
 impl Error {
@@ -37,11 +33,7 @@
 
     #[cold]
     pub(crate) fn rule(path: String, found: impl Into<String>, expected: &'static str) -> Self {
-        Self(Box::new(Code::Rule {
-            path,
-            found: found.into(),
-            expected,
-        }))
+        Self(Box::new(Code::Rule { path, found: found.into(), expected }))
     }
 
     /// Coarse kind of the error.
--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -34,10 +34,12 @@
     Link(LinkId, u64),
 }
 
-/// A request with the way back.
-pub(crate) struct Inbound {
-    pub request: Request,
-    pub reply_to: ReplyTo,
+/// What another host, or this one, wants of this host.
+pub(crate) enum Inbound {
+    /// A request with the way back.
+    Request(Request, ReplyTo),
+    /// The answer to an earlier request is no longer wanted.
+    Cancel(ReplyTo),
 }
 
 struct Pending {
@@ -59,13 +61,7 @@
     /// Calls over `links`; requests to the address `own` go to `inbound`.
     pub(crate) fn new(own: SocketAddr, links: Links, inbound: flume::Sender<Inbound>) -> Arc<Self> {
         let next = AtomicU64::new(0);
-        Arc::new(Self {
-            own,
-            links,
-            inbound,
-            next,
-            pending: Mutex::default(),
-        })
+        Arc::new(Self { own, links, inbound, next, pending: Mutex::default() })
     }
 
     /// Sends calls; their answers go to `answers`. Returns the ids, to withdraw them.
@@ -77,19 +73,9 @@
             ids.push(id);
             if call.peer == self.own {
                 // The receiver goes away only when the process ends.
-                let reply_to = ReplyTo::Local(id);
-                let _ = self.inbound.send(Inbound {
-                    request: call.request,
-                    reply_to,
-                });
+                let _ = self.inbound.send(Inbound::Request(call.request, ReplyTo::Local(id)));
             } else {
-                remote.push((
-                    call.peer,
-                    Message::Request {
-                        id,
-                        body: call.request,
-                    },
-                ));
+                remote.push((call.peer, Message::Request { id, body: call.request }));
             }
         }
         self.links.request(remote);
@@ -110,10 +96,7 @@
         if pending.get(&id).is_some_and(|p| p.peer == peer)
             && let Some(call) = pending.remove(&id)
         {
-            let _ = call.answers.send(Answer {
-                index: call.index,
-                reply: Some(reply),
-            });
+            let _ = call.answers.send(Answer { index: call.index, reply: Some(reply) });
         }
     }
 
@@ -121,10 +104,7 @@
     pub(crate) fn fail(&self, peer: SocketAddr) {
         self.pending().retain(|_, call| {
             if call.peer == peer {
-                let _ = call.answers.send(Answer {
-                    index: call.index,
-                    reply: None,
-                });
+                let _ = call.answers.send(Answer { index: call.index, reply: None });
             }
             call.peer != peer
         });
@@ -140,11 +120,7 @@
 
     fn register(&self, call: &Call, answers: &flume::Sender<Answer>) -> u64 {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let pending = Pending {
-            peer: call.peer,
-            index: call.index,
-            answers: answers.clone(),
-        };
+        let pending = Pending { peer: call.peer, index: call.index, answers: answers.clone() };
         self.pending().insert(id, pending);
         id
     }
--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -46,10 +46,7 @@
 impl Config {
     /// View in force.
     pub(crate) fn view(&self) -> Arc<View> {
-        self.view
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Puts a view in force if its version is higher; tells whether it did.
@@ -90,23 +87,14 @@
         }
     };
     let builder = thread::Builder::new().name("config".into());
-    builder
-        .spawn(run)
-        .map(drop)
-        .map_err(|e| Error::io("start thread", "config", e))
+    builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "config", e))
 }
 
 fn adopt_value(config: &Config, value: &Value) {
     match parse(value) {
         Some(head) => {
-            config.adopt(View {
-                version: head.version,
-                catalogue: head.catalogue,
-            });
+            config.adopt(View { version: head.version, catalogue: head.catalogue });
         }
-        None => log::error!(
-            "step=adopt error=\"malformed head\" store_version={}",
-            value.version
-        ),
+        None => log::error!("step=adopt error=\"malformed head\" store_version={}", value.version),
     }
 }
--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -52,11 +52,7 @@
         metrics: std::sync::Arc<Metrics>,
         limits: RequestLimits,
     ) -> Self {
-        Self {
-            gather,
-            metrics,
-            limits,
-        }
+        Self { gather, metrics, limits }
     }
 
     /// Serves callers at `address`.
@@ -96,12 +92,7 @@
             return Err("x-route: too long");
         }
         let route: Name = route.into();
-        Ok(Query {
-            service: service.into(),
-            route,
-            body: request.body.clone(),
-            timeout,
-        })
+        Ok(Query { service: service.into(), route, body: request.body.clone(), timeout })
     }
 
     fn run(&self, query: &Query) -> Response {
@@ -119,11 +110,7 @@
 fn answer(query: &Query, gathered: &Gathered) -> Response {
     let parts = gathered.parts.iter().filter_map(|(shard, part)| {
         let results: &RawValue = serde_json::from_str(&part.results).ok()?;
-        Some(PartBody {
-            shard,
-            span: part.span,
-            results,
-        })
+        Some(PartBody { shard, span: part.span, results })
     });
     let body = Body {
         service: &query.service,
--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -83,14 +83,7 @@
         calls: Arc<Calls>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self {
-            clock,
-            config,
-            peers,
-            calls,
-            metrics,
-            known: Mutex::default(),
-        }
+        Self { clock, config, peers, calls, metrics, known: Mutex::default() }
     }
 
     /// Runs a query until it is complete or its deadline passes.
@@ -100,10 +93,7 @@
         if view.version == 0 {
             return Err(Refusal::Unconfigured);
         }
-        let service = view
-            .catalogue
-            .service(&query.service)
-            .ok_or(Refusal::UnknownService)?;
+        let service = view.catalogue.service(&query.service).ok_or(Refusal::UnknownService)?;
         let limit = service.limits.deadline;
         let timeout = query.timeout.map_or(limit, |t| t.min(limit));
         let deadline = start + timeout;
@@ -111,8 +101,7 @@
         let gathered = self.scatter(&view, service, query, snapshot, deadline);
         let labels = Labels::new(&service.owner, &service.class);
         let seconds = self.clock.now().duration_since(start).as_secs_f64();
-        self.metrics
-            .answered(&labels, seconds, gathered.coverage.fraction());
+        self.metrics.answered(&labels, seconds, gathered.coverage.fraction());
         Ok(gathered)
     }
 
@@ -124,11 +113,8 @@
         deadline: Instant,
     ) -> Result<SnapshotId, Refusal> {
         loop {
-            let stale: Vec<&Shard> = service
-                .shards
-                .iter()
-                .filter(|s| self.is_stale(service, s))
-                .collect();
+            let stale: Vec<&Shard> =
+                service.shards.iter().filter(|s| self.is_stale(service, s)).collect();
             if !stale.is_empty() {
                 self.describe(view, service, &stale, deadline);
             }
@@ -147,10 +133,7 @@
         let held = service.shards.iter().map(|shard| {
             let key = (service.name.clone(), shard.name.clone());
             let snapshots = known.get(&key).map(|k| k.held.clone()).unwrap_or_default();
-            Held {
-                span: Some(shard.span),
-                snapshots,
-            }
+            Held { span: Some(shard.span), snapshots }
         });
         held.collect()
     }
@@ -158,18 +141,14 @@
     fn is_stale(&self, service: &Service, shard: &Shard) -> bool {
         let key = (service.name.clone(), shard.name.clone());
         let now = self.clock.now();
-        self.known()
-            .get(&key)
-            .is_none_or(|k| now.duration_since(k.at) > HELD_AGE)
+        self.known().get(&key).is_none_or(|k| now.duration_since(k.at) > HELD_AGE)
     }
 
     fn describe(&self, view: &View, service: &Service, shards: &[&Shard], deadline: Instant) {
         let (sender, answers) = flume::unbounded();
         let calls = shards.iter().enumerate().filter_map(|(index, shard)| {
-            let request = Request::Describe {
-                service: service.name.clone(),
-                shard: shard.name.clone(),
-            };
+            let request =
+                Request::Describe { service: service.name.clone(), shard: shard.name.clone() };
             self.call(view, service, shard, index, request)
         });
         let ids = self.calls.send(calls.collect(), &sender);
@@ -187,12 +166,8 @@
         if held.is_empty() {
             return;
         }
-        let known = Known {
-            at: self.clock.now(),
-            held,
-        };
-        self.known()
-            .insert((service.name.clone(), shard.clone()), known);
+        let known = Known { at: self.clock.now(), held };
+        self.known().insert((service.name.clone(), shard.clone()), known);
     }
 
     fn scatter(
@@ -206,21 +181,17 @@
         let left = deadline.saturating_duration_since(self.clock.now());
         let unix = self.clock.unix() + left;
         let (sender, answers) = flume::unbounded();
-        let calls = service
-            .shards
-            .iter()
-            .enumerate()
-            .filter_map(|(index, shard)| {
-                let request = Request::Search(SubQuery {
-                    service: service.name.clone(),
-                    shard: shard.name.clone(),
-                    snapshot,
-                    route: query.route.clone(),
-                    deadline: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX),
-                    query: query.body.clone(),
-                });
-                self.call(view, service, shard, index, request)
+        let calls = service.shards.iter().enumerate().filter_map(|(index, shard)| {
+            let request = Request::Search(SubQuery {
+                service: service.name.clone(),
+                shard: shard.name.clone(),
+                snapshot,
+                route: query.route.clone(),
+                deadline: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX),
+                query: query.body.clone(),
             });
+            self.call(view, service, shard, index, request)
+        });
         let ids = self.calls.send(calls.collect(), &sender);
         drop(sender);
         let gathered = self.collect(service, snapshot, &answers, deadline, ids.len());
@@ -257,12 +228,7 @@
         }
         let labels = Labels::new(&service.owner, &service.class);
         self.metrics.sub_queries(&labels, sent as u64, extra);
-        Gathered {
-            snapshot,
-            coverage,
-            cut: open > 0,
-            parts,
-        }
+        Gathered { snapshot, coverage, cut: open > 0, parts }
     }
 
     fn call(
@@ -276,11 +242,7 @@
         let own = &self.peers.own().data_centre;
         let hosts = owners(&view.catalogue, service, shard, own, &self.peers.live());
         let peer = hosts.first()?.address;
-        Some(Call {
-            index,
-            peer,
-            request,
-        })
+        Some(Call { index, peer, request })
     }
 
     fn known(&self) -> std::sync::MutexGuard<'_, Map<(Name, Name), Known>> {
--- /dev/null
+++ b/crates/host/src/inbox.rs
@@ -0,0 +1,70 @@
+//! Hands what other hosts want to the parts of this host.
+//!
+//! The handler runs on the polling thread of the links and on callers' threads, so it only passes
+//! on; each part works on threads of its own.
+
+use std::sync::Arc;
+
+use sapphirerack_protocol::{Message, Reply, Request};
+
+use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::links::{Event, Handler};
+use crate::owner::OwnerRequest;
+use crate::{Error, Result};
+
+/// The parts that take requests.
+pub(crate) struct Inbox {
+    pub calls: Arc<Calls>,
+    pub owner: flume::Sender<OwnerRequest>,
+}
+
+impl Inbox {
+    /// Takes requests on a thread of its own.
+    pub(crate) fn spawn(self, inbound: flume::Receiver<Inbound>) -> Result<()> {
+        let run = move || {
+            for item in inbound {
+                match item {
+                    Inbound::Request(request, reply_to) => self.request(request, reply_to),
+                    Inbound::Cancel(reply_to) => self.ask_owner(OwnerRequest::Cancel(reply_to)),
+                }
+            }
+        };
+        let builder = std::thread::Builder::new().name("inbox".into());
+        builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "inbox", e))
+    }
+
+    fn request(&self, request: Request, reply_to: ReplyTo) {
+        match request {
+            Request::Ping => self.calls.reply(reply_to, Reply::Pong),
+            Request::Describe { service, shard } => {
+                self.ask_owner(OwnerRequest::Describe { service, shard, reply_to });
+            }
+            Request::Search(query) => self.ask_owner(OwnerRequest::Search(query, reply_to)),
+        }
+    }
+
+    fn ask_owner(&self, request: OwnerRequest) {
+        // The receiver goes away only when the process ends.
+        let _ = self.owner.send(request);
+    }
+}
+
+/// Passes what happens on the links on to the calls and the inbox.
+pub(crate) fn handler(calls: Arc<Calls>, inbound: flume::Sender<Inbound>) -> Handler {
+    Box::new(move |event| match event {
+        Event::Message { link, message: Message::Request { id, body }, .. } => {
+            // The receiver goes away only when the process ends.
+            let _ = inbound.send(Inbound::Request(body, ReplyTo::Link(link, id)));
+        }
+        Event::Message { link, message: Message::Cancel { id }, .. } => {
+            let _ = inbound.send(Inbound::Cancel(ReplyTo::Link(link, id)));
+        }
+        Event::Message { peer: Some(peer), message: Message::Reply { id, body }, .. } => {
+            calls.resolve(id, peer, body);
+        }
+        Event::Message { peer: None, message: Message::Reply { id, .. }, .. } => {
+            log::warn!("step=reply id={id} error=\"reply on a link that the peer opened\"");
+        }
+        Event::Closed { peer } => calls.fail(peer),
+    })
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -17,6 +17,9 @@
 //! - `calls`: requests to other hosts and their replies
 //! - `links`: TCP links between hosts
 //! - `owner`: sub-queries at the targets that this host owns
+//! - `inbox`: hands what other hosts want to the parts of this host
+//! - `versions`: traffic shares and evidence of back-end versions
+//! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
 //! - `operators`: operators' HTTP
@@ -24,10 +27,12 @@
 //! - `error`: the crate's error
 
 mod calls;
+mod changes;
 mod config;
 mod entry;
 mod error;
 mod gather;
+mod inbox;
 mod links;
 mod metrics;
 mod operators;
@@ -35,6 +40,7 @@
 mod peers;
 mod serve;
 mod settings;
+mod versions;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -33,11 +33,7 @@
 /// What happens on the links.
 pub(crate) enum Event {
     /// A message came; `peer` is set if this host opened the link.
-    Message {
-        link: LinkId,
-        peer: Option<SocketAddr>,
-        message: Message,
-    },
+    Message { link: LinkId, peer: Option<SocketAddr>, message: Message },
     /// A link that this host opened to `peer` is closed, or could not be opened.
     Closed { peer: SocketAddr },
 }
@@ -85,8 +81,7 @@
 fn open(address: SocketAddr) -> io::Result<(Links, Poller)> {
     let poll = Poll::new()?;
     let mut listener = TcpListener::bind(address)?;
-    poll.registry()
-        .register(&mut listener, LISTENER, Interest::READABLE)?;
+    poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
     let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
     let (sender, commands) = flume::unbounded();
     let poller = Poller {
@@ -98,13 +93,7 @@
         next: FIRST_LINK,
         chunk: vec![0; READ_CHUNK],
     };
-    Ok((
-        Links {
-            commands: sender,
-            waker,
-        },
-        poller,
-    ))
+    Ok((Links { commands: sender, waker }, poller))
 }
 
 impl Links {
@@ -149,10 +138,7 @@
             }
         };
         let builder = thread::Builder::new().name("links".into());
-        builder
-            .spawn(run)
-            .map(drop)
-            .map_err(|e| Error::io("start thread", "links", e))
+        builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "links", e))
     }
 
     fn run(&mut self, handler: &Handler) -> io::Result<()> {
@@ -192,9 +178,7 @@
     fn register(&mut self, mut stream: TcpStream, peer: Option<SocketAddr>) -> io::Result<Token> {
         let token = Token(self.next);
         let interest = Interest::READABLE | Interest::WRITABLE;
-        self.poll
-            .registry()
-            .register(&mut stream, token, interest)?;
+        self.poll.registry().register(&mut stream, token, interest)?;
         // Fails on a socket that is still connecting on some systems; harmless then.
         let _ = stream.set_nodelay(true);
         self.next += 1;
@@ -312,11 +296,7 @@
                 Err(e) => return Err(e),
             }
             while let Some(message) = self.decoder.next().map_err(io::Error::other)? {
-                handler(Event::Message {
-                    link: id,
-                    peer: self.peer,
-                    message,
-                });
+                handler(Event::Message { link: id, peer: self.peer, message });
             }
         }
     }
@@ -324,8 +304,5 @@
 
 /// Whether the call is to be repeated when the poll reports the socket ready.
 fn is_pending(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        ErrorKind::WouldBlock | ErrorKind::NotConnected
-    )
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected)
 }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -8,9 +8,8 @@
 use crate::{Error, Result};
 
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BOUNDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.010, 0.015, 0.020, 0.030, 0.040, 0.053, 0.075, 0.1, 0.25, 0.5, 1.0,
-];
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.010, 0.015, 0.020, 0.030, 0.040, 0.053, 0.075, 0.1, 0.25, 0.5, 1.0];
 
 /// Upper bounds of the coverage buckets, as fractions.
 const COVERAGE_BOUNDS: [f64; 7] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.99, 0.999_999];
@@ -48,10 +47,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("sapphirerack");
         let histogram = |name: &'static str, bounds: &[f64]| {
-            meter
-                .f64_histogram(name)
-                .with_boundaries(bounds.to_vec())
-                .build()
+            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
         };
         Ok(Self {
             latency: histogram("query_latency_seconds", &LATENCY_BOUNDS),
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -5,10 +5,10 @@
 
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_http::{Method, Request, Response, Server};
-use sapphirerack_platform::{Category, Store};
 use serde::Serialize;
 
-use crate::config::{Config, HEAD_KEY, Head, View, parse};
+use crate::changes::{Changes, Rejection};
+use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::{Error, Result};
@@ -42,7 +42,7 @@
     config: Arc<Config>,
     peers: Arc<Peers>,
     metrics: Arc<Metrics>,
-    store: Store,
+    changes: Arc<Changes>,
 }
 
 impl Operators {
@@ -50,14 +50,9 @@
         config: Arc<Config>,
         peers: Arc<Peers>,
         metrics: Arc<Metrics>,
-        store: Store,
+        changes: Arc<Changes>,
     ) -> Self {
-        Self {
-            config,
-            peers,
-            metrics,
-            store,
-        }
+        Self { config, peers, metrics, changes }
     }
 
     /// Serves operators at `address`.
@@ -103,13 +98,7 @@
 
     fn get(&self) -> Response {
         let view = self.config.view();
-        Response::json(
-            200,
-            &InForce {
-                version: view.version,
-                catalogue: &view.catalogue,
-            },
-        )
+        Response::json(200, &InForce { version: view.version, catalogue: &view.catalogue })
     }
 
     fn put(&self, request: &Request) -> Response {
@@ -118,39 +107,25 @@
         };
         let text = String::from_utf8_lossy(&request.body);
         match sapphirerack_catalogue::from_text(&text) {
-            Ok(catalogue) => self.swap(change, catalogue),
+            Ok(catalogue) => self.change(change, catalogue),
             Err(e) => Response::refuse(400, &e.to_string(), true),
         }
     }
 
-    fn swap(&self, change: Name, catalogue: Catalogue) -> Response {
-        let current = match self.store.get(HEAD_KEY) {
-            Ok(current) => current,
-            Err(e) => return Response::refuse(503, &e.to_string(), true),
-        };
-        let stored = current.as_ref().map_or(0, |v| v.version);
-        let version = current.as_ref().and_then(parse).map_or(0, |h| h.version) + 1;
-        let head = Head {
-            version,
-            change,
-            catalogue,
-        };
-        let bytes = match serde_json::to_vec(&head) {
-            Ok(bytes) => bytes,
-            Err(e) => return Response::refuse(500, &e.to_string(), true),
-        };
-        match self.store.swap(HEAD_KEY, stored, &bytes) {
-            Ok(_) => {
-                self.config.adopt(View {
-                    version,
-                    catalogue: head.catalogue,
-                });
-                Response::json(200, &Accepted { version })
-            }
-            Err(e) if e.classify() == Category::Conflict => {
-                Response::refuse(409, &e.to_string(), true)
-            }
-            Err(e) => Response::refuse(503, &e.to_string(), false),
+    fn change(&self, id: Name, catalogue: Catalogue) -> Response {
+        match self.changes.apply(id, |_| Ok(catalogue)) {
+            Ok(version) => Response::json(200, &Accepted { version }),
+            Err(e) => refuse(&e),
         }
     }
 }
+
+fn refuse(rejection: &Rejection) -> Response {
+    let (status, not_run) = match rejection {
+        Rejection::Invalid(_) => (400, true),
+        Rejection::Conflict(_) => (409, true),
+        Rejection::Unavailable(_) => (503, true),
+        Rejection::Unknown(_) => (504, false),
+    };
+    Response::refuse(status, &rejection.to_string(), not_run)
+}
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -11,15 +11,26 @@
 use sapphirerack_catalogue::{Map, Name, Shard, Span, Target, TargetState};
 use sapphirerack_platform::{Found, Search, TargetClient};
 use sapphirerack_policy::{Clock, SnapshotId};
-use sapphirerack_protocol::{Failure, Part, Reply, Request, SubQuery, SubReply};
+use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
 
-use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::calls::{Calls, ReplyTo};
 use crate::config::Config;
+use crate::versions::{Outcome, Versions};
 use crate::{Error, Result};
 
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// What the owner is asked.
+pub(crate) enum OwnerRequest {
+    /// Which snapshots a shard's replicas hold.
+    Describe { service: Name, shard: Name, reply_to: ReplyTo },
+    /// To run a sub-query.
+    Search(SubQuery, ReplyTo),
+    /// To drop a sub-query whose answer is no longer wanted.
+    Cancel(ReplyTo),
+}
+
 type Snapshots = Arc<Mutex<BTreeSet<SnapshotId>>>;
 
 struct Job {
@@ -38,6 +49,7 @@
     clock: Arc<dyn Clock>,
     config: Arc<Config>,
     calls: Arc<Calls>,
+    versions: Arc<Versions>,
     data_centre: Name,
     groups: Map<(Name, Name), Group>,
 }
@@ -45,7 +57,9 @@
 struct Worker {
     clock: Arc<dyn Clock>,
     calls: Arc<Calls>,
+    versions: Arc<Versions>,
     client: TargetClient,
+    version: Name,
     span: Span,
     jobs: flume::Receiver<Job>,
     held: Snapshots,
@@ -56,56 +70,42 @@
         clock: Arc<dyn Clock>,
         config: Arc<Config>,
         calls: Arc<Calls>,
+        versions: Arc<Versions>,
         data_centre: Name,
     ) -> Self {
-        Self {
-            clock,
-            config,
-            calls,
-            data_centre,
-            groups: Map::default(),
-        }
+        Self { clock, config, calls, versions, data_centre, groups: Map::default() }
     }
 
     /// Takes requests on a thread of its own.
-    pub(crate) fn spawn(mut self, inbound: flume::Receiver<Inbound>) -> Result<()> {
+    pub(crate) fn spawn(mut self, requests: flume::Receiver<OwnerRequest>) -> Result<()> {
         let run = move || {
-            for request in inbound {
+            for request in requests {
                 self.handle(request);
             }
         };
         let builder = thread::Builder::new().name("owner".into());
-        builder
-            .spawn(run)
-            .map(drop)
-            .map_err(|e| Error::io("start thread", "owner", e))
+        builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "owner", e))
     }
 
-    fn handle(&mut self, inbound: Inbound) {
-        match inbound.request {
-            Request::Ping => self.calls.reply(inbound.reply_to, Reply::Pong),
-            Request::Describe { service, shard } => {
+    fn handle(&mut self, request: OwnerRequest) {
+        match request {
+            OwnerRequest::Describe { service, shard, reply_to } => {
                 let held = self.group(&service, &shard).map(|g| snapshots(&g.held));
-                let reply = Reply::Described(held.unwrap_or_default());
-                self.calls.reply(inbound.reply_to, reply);
+                self.calls.reply(reply_to, Reply::Described(held.unwrap_or_default()));
             }
-            Request::Search(query) => {
-                let reply_to = inbound.reply_to;
+            OwnerRequest::Search(query, reply_to) => {
                 match self.group(&query.service.clone(), &query.shard.clone()) {
                     // The workers hold the receiver as long as the group stands.
                     Some(group) => drop(group.jobs.send(Job { query, reply_to })),
                     None => self.fail(reply_to, Failure::NotOwner),
                 }
             }
+            OwnerRequest::Cancel(reply_to) => log::debug!("step=cancel reply_to={reply_to:?}"),
         }
     }
 
     fn fail(&self, to: ReplyTo, failure: Failure) {
-        let reply = SubReply {
-            outcome: Err(failure),
-            held: Vec::new(),
-            extra: 0,
-        };
+        let reply = SubReply { outcome: Err(failure), held: Vec::new(), extra: 0 };
         self.calls.reply(to, Reply::Found(reply));
     }
 
@@ -141,7 +141,9 @@
                 let worker = Worker {
                     clock: self.clock.clone(),
                     calls: self.calls.clone(),
+                    versions: self.versions.clone(),
                     client: client.clone(),
+                    version: target.version.clone(),
                     span,
                     jobs: jobs.clone(),
                     held: held.clone(),
@@ -149,11 +151,7 @@
                 worker.spawn();
             }
         }
-        Group {
-            targets,
-            jobs: sender,
-            held,
-        }
+        Group { targets, jobs: sender, held }
     }
 }
 
@@ -163,11 +161,7 @@
             while let Ok(job) = self.jobs.recv() {
                 let outcome = self.run(&job.query);
                 let held = snapshots(&self.held);
-                let reply = SubReply {
-                    outcome,
-                    held,
-                    extra: 0,
-                };
+                let reply = SubReply { outcome, held, extra: 0 };
                 self.calls.reply(job.reply_to, Reply::Found(reply));
             }
         };
@@ -182,6 +176,9 @@
         if timeout.is_zero() {
             return Err(Failure::Timeout);
         }
+        if !self.versions.admits(&query.service, &query.route, &self.version, fastrand::f64()) {
+            return Err(Failure::Target);
+        }
         let request = format!("{:016x}", fastrand::u64(..));
         let search = Search {
             request: &request,
@@ -192,7 +189,12 @@
             timeout,
             query: &query.query,
         };
-        match self.client.search(&search) {
+        let start = self.clock.now();
+        let found = self.client.search(&search);
+        let time = self.clock.now().duration_since(start);
+        let outcome = Outcome { ok: found.is_ok(), time };
+        self.versions.record(&query.service, &query.route, &self.version, outcome);
+        match found {
             Ok(found) => self.accept(query, found),
             Err(e) => {
                 log::debug!("step=search request={request} error={e:?}");
@@ -210,11 +212,7 @@
             return Err(Failure::NoSnapshot);
         }
         let results = Box::<str>::from(found.results).into_string();
-        Ok(Part {
-            snapshot: found.snapshot,
-            span: found.span,
-            results,
-        })
+        Ok(Part { snapshot: found.snapshot, span: found.span, results })
     }
 }
 
@@ -235,9 +233,5 @@
 }
 
 fn snapshots(held: &Snapshots) -> Vec<SnapshotId> {
-    held.lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .iter()
-        .copied()
-        .collect()
+    held.lock().unwrap_or_else(PoisonError::into_inner).iter().copied().collect()
 }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -32,20 +32,13 @@
 
     /// Hosts that are believed to be live.
     pub(crate) fn live(&self) -> Arc<[Host]> {
-        self.live
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.live.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn replace(&self, entries: Vec<HostEntry>) {
         let live = entries.into_iter().filter(|e| e.state == HostState::Live);
         let mut hosts: Vec<Host> = live
-            .map(|e| Host {
-                name: e.name,
-                data_centre: e.data_centre,
-                address: e.address,
-            })
+            .map(|e| Host { name: e.name, data_centre: e.data_centre, address: e.address })
             .collect();
         if hosts.iter().all(|h| h.name != self.own.name) {
             hosts.push(self.own.clone());
@@ -66,8 +59,5 @@
         }
     };
     let builder = thread::Builder::new().name("peers".into());
-    builder
-        .spawn(run)
-        .map(drop)
-        .map_err(|e| Error::io("start thread", "peers", e))
+    builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "peers", e))
 }
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -5,17 +5,18 @@
 use sapphirerack_http::Server;
 use sapphirerack_platform::Store;
 use sapphirerack_policy::{Clock, SystemClock};
-use sapphirerack_protocol::Message;
 
-use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::calls::Calls;
+use crate::changes::Changes;
 use crate::entry::Entry;
 use crate::gather::Gather;
-use crate::links::{Event, Handler};
+use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::peers::Peers;
-use crate::{Result, Settings, config, links, peers};
+use crate::versions::Versions;
+use crate::{Result, Settings, config, inbox, links, peers};
 
 /// A running entry host.
 pub struct Host {
@@ -52,52 +53,23 @@
     let (links, poller) = links::bind(settings.listen.hosts)?;
     let (inbound, requests) = flume::unbounded();
     let calls = Calls::new(settings.listen.hosts, links, inbound.clone());
-    poller.spawn(handler(calls.clone(), inbound))?;
+    poller.spawn(inbox::handler(calls.clone(), inbound))?;
+    let versions = Arc::new(Versions::default());
     let centre = settings.data_centre.clone();
-    Owner::new(clock.clone(), config.clone(), calls.clone(), centre).spawn(requests)?;
+    let owner = Owner::new(clock.clone(), config.clone(), calls.clone(), versions, centre);
+    let (sender, owned) = flume::unbounded();
+    owner.spawn(owned)?;
+    Inbox { calls: calls.clone(), owner: sender }.spawn(requests)?;
 
     config::follow(config.clone(), store.clone())?;
     peers::follow(peers.clone(), store.clone())?;
 
-    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), store);
+    let changes = Arc::new(Changes::new(store, config.clone()));
+    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
     let operators = operators.serve(settings.listen.operators)?;
     let gather = Gather::new(clock, config, peers, calls, metrics.clone());
     let entry = Entry::new(gather, metrics, settings.limits.clone());
     let callers = entry.serve(settings.listen.callers)?;
-    log::info!(
-        "step=serve host={} data_centre={}",
-        settings.name,
-        settings.data_centre
-    );
-    Ok(Host {
-        _callers: callers,
-        _operators: operators,
-    })
-}
-
-/// Passes what happens on the links on to the calls and the owner.
-fn handler(calls: Arc<Calls>, inbound: flume::Sender<Inbound>) -> Handler {
-    Box::new(move |event| match event {
-        Event::Message {
-            link,
-            message: Message::Request { id, body },
-            ..
-        } => {
-            let reply_to = ReplyTo::Link(link, id);
-            // The receiver goes away only when the process ends.
-            let _ = inbound.send(Inbound {
-                request: body,
-                reply_to,
-            });
-        }
-        Event::Message {
-            peer: Some(peer),
-            message: Message::Reply { id, body },
-            ..
-        } => {
-            calls.resolve(id, peer, body);
-        }
-        Event::Message { .. } => {}
-        Event::Closed { peer } => calls.fail(peer),
-    })
+    log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
+    Ok(Host { _callers: callers, _operators: operators })
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -65,11 +65,7 @@
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self {
-            requests: 128,
-            body: 64 << 10,
-            header: 256,
-        }
+        Self { requests: 128, body: 64 << 10, header: 256 }
     }
 }
 
@@ -98,23 +94,15 @@
         return Err(Error::rule("name: empty, expected a unique name".into()));
     }
     let limits = &settings.limits;
-    let fields = [
-        ("requests", limits.requests),
-        ("body", limits.body),
-        ("header", limits.header),
-    ];
+    let fields = [("requests", limits.requests), ("body", limits.body), ("header", limits.header)];
     for (field, value) in fields {
         if value == 0 {
-            return Err(Error::rule(format!(
-                "limits.{field}: 0, expected 1 or more"
-            )));
+            return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
     if settings.log.parse::<log::LevelFilter>().is_err() {
         let found = &settings.log;
-        return Err(Error::rule(format!(
-            "log: {found:?}, expected a level such as \"info\""
-        )));
+        return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
     }
     Ok(())
 }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -30,14 +30,8 @@
 
     /// Value of a parameter of the query.
     pub fn param(&self, name: &str) -> Option<&str> {
-        let pairs = self
-            .query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='));
-        pairs
-            .filter(|(key, _)| *key == name)
-            .map(|(_, value)| value)
-            .next()
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
     }
 }
 
@@ -63,11 +57,7 @@
     /// Response with a body of the given content type.
     pub fn new(status: u16, content: &str, body: impl Into<Vec<u8>>) -> Self {
         let headers = vec![("content-type", content.to_owned())];
-        Self {
-            status,
-            headers,
-            body: body.into(),
-        }
+        Self { status, headers, body: body.into() }
     }
 
     /// Plain text response.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -71,19 +71,11 @@
     start_workers(config.workers, &queue, handler).map_err(failed("start worker"))?;
     let (stop, stopping) = watch::channel(None);
     let (finished, done) = flume::bounded(1);
-    let front = Front {
-        config,
-        jobs,
-        stopping,
-    };
+    let front = Front { config, jobs, stopping };
     let run = move || run(&runtime, front, listener, &finished);
     let thread = thread::Builder::new().name("http".into()).spawn(run);
     thread.map_err(failed("start thread"))?;
-    Ok(Server {
-        address,
-        stop,
-        done,
-    })
+    Ok(Server { address, stop, done })
 }
 
 fn start_workers(
@@ -100,9 +92,7 @@
                 let _ = job.reply.send(guarded(&*handler, job.request));
             }
         };
-        thread::Builder::new()
-            .name("http-worker".into())
-            .spawn(run)?;
+        thread::Builder::new().name("http-worker".into()).spawn(run)?;
     }
     Ok(())
 }
@@ -175,9 +165,7 @@
         }
         drop(listener);
         let limit = stopping.borrow().unwrap_or_default();
-        tokio::time::timeout(limit, graceful.shutdown())
-            .await
-            .is_ok()
+        tokio::time::timeout(limit, graceful.shutdown()).await.is_ok()
     }
 
     fn connection(
@@ -189,9 +177,7 @@
         let patience = self.config.patience;
         let service = service_fn(move |request| self.clone().answer(request));
         let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(patience);
+        builder.timer(TokioTimer::new()).header_read_timeout(patience);
         builder.serve_connection(TokioIo::new(stream), service)
     }
 
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -29,12 +29,8 @@
     let connect = |_| TcpStream::connect(server.address()).unwrap();
     let mut streams: Vec<TcpStream> = (0..200).map(connect).collect();
     for stream in &mut streams {
-        stream
-            .set_read_timeout(Some(Duration::from_secs(20)))
-            .unwrap();
-        stream
-            .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
-            .unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
         let mut head = [0; 12];
         stream.read_exact(&mut head).unwrap();
 
@@ -44,15 +40,9 @@
 
 #[test]
 fn body_above_the_limit_is_refused_as_not_run() {
-    let server = echo(Config {
-        body: 10,
-        ..config()
-    });
+    let server = echo(Config { body: 10, ..config() });
 
-    let response = minreq::post(url(&server))
-        .with_body(vec![0; 11])
-        .send()
-        .unwrap();
+    let response = minreq::post(url(&server)).with_body(vec![0; 11]).send().unwrap();
 
     assert_eq!(response.status_code, 413);
     assert!(response.as_str().unwrap().contains("\"not_run\":true"));
@@ -61,15 +51,10 @@
 #[test]
 fn slow_sender_is_dropped() {
     let patience = Duration::from_millis(50);
-    let server = echo(Config {
-        patience,
-        ..config()
-    });
+    let server = echo(Config { patience, ..config() });
 
     let mut stream = TcpStream::connect(server.address()).unwrap();
-    stream
-        .set_read_timeout(Some(Duration::from_secs(20)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     stream.write_all(b"GET / HT").unwrap();
     let mut rest = Vec::new();
 
@@ -79,10 +64,7 @@
 
 #[test]
 fn panic_in_the_handler_costs_one_request() {
-    let config = Config {
-        workers: 1,
-        ..config()
-    };
+    let config = Config { workers: 1, ..config() };
     let server = serve(config, |request| {
         assert!(request.body.is_empty(), "refused by the test");
         Response::text(200, "")
@@ -97,11 +79,7 @@
 
 #[test]
 fn full_queue_refuses_as_not_run() {
-    let config = Config {
-        workers: 1,
-        queue: 1,
-        ..config()
-    };
+    let config = Config { workers: 1, queue: 1, ..config() };
     let (entered, running) = mpsc::channel();
     let (release, gate) = flume::bounded::<()>(0);
     let server = serve(config, move |_| {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -115,10 +115,7 @@
     let Some(answer) = answer else { return };
     summary.answered += 1;
     let found = || answer.parts.iter().flat_map(|p| &p.results);
-    assert!(
-        found().all(|f| f.query == query),
-        "answer to another request"
-    );
+    assert!(found().all(|f| f.query == query), "answer to another request");
     if found().any(|f| f.snapshot != answer.snapshot) {
         summary.mixed_snapshots += 1;
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -103,12 +103,7 @@
             }
         }
         store.set_hosts(hosts.iter().map(entry).collect());
-        Self {
-            store,
-            targets,
-            catalogue,
-            hosts,
-        }
+        Self { store, targets, catalogue, hosts }
     }
 
     /// Puts the catalogue into force through the operators' command line.
@@ -130,11 +125,7 @@
         let limit = Instant::now() + READY_LIMIT;
         for host in &self.hosts {
             while !is_ready(host) {
-                assert!(
-                    Instant::now() < limit,
-                    "{} does not become ready",
-                    host.name
-                );
+                assert!(Instant::now() < limit, "{} does not become ready", host.name);
                 thread::sleep(READY_PAUSE);
             }
         }
@@ -143,10 +134,7 @@
 
 fn is_ready(host: &HostProcess) -> bool {
     let url = format!("http://{}/readyz", host.operators);
-    minreq::get(url)
-        .with_timeout(1)
-        .send()
-        .is_ok_and(|r| r.status_code == 200)
+    minreq::get(url).with_timeout(1).send().is_ok_and(|r| r.status_code == 200)
 }
 
 fn entry(host: &HostProcess) -> HostEntry {
@@ -190,31 +178,18 @@
             });
             servers.push(server);
         }
-        shards.push(Shard {
-            name: i.to_string().into(),
-            span,
-            targets: replicas,
-        });
+        shards.push(Shard { name: i.to_string().into(), span, targets: replicas });
     }
     let service = Service {
         name: "search".into(),
         owner: "zeugenwerk".into(),
         class: "search".into(),
-        limits: Limits {
-            concurrency: 64,
-            deadline: Duration::from_secs(1),
-        },
+        limits: Limits { concurrency: 64, deadline: Duration::from_secs(1) },
         shards,
     };
-    let centre = |name: &Name| DataCentre {
-        name: name.clone(),
-        presence: Presence::In,
-    };
+    let centre = |name: &Name| DataCentre { name: name.clone(), presence: Presence::In };
     let catalogue = Catalogue {
-        members: vec![Member {
-            name: "zeugenwerk".into(),
-            key: "0".into(),
-        }],
+        members: vec![Member { name: "zeugenwerk".into(), key: "0".into() }],
         data_centres: shape.data_centres.iter().map(centre).collect(),
         services: vec![service],
     };
@@ -230,11 +205,7 @@
         "log": "warn",
     });
     let settings = scratch(&format!("{name}.json"), &text.to_string());
-    let child = Command::new(program)
-        .arg("serve")
-        .arg(&settings)
-        .spawn()
-        .unwrap();
+    let child = Command::new(program).arg("serve").arg(&settings).spawn().unwrap();
     HostProcess {
         name: name.into(),
         data_centre: data_centre.clone(),
@@ -254,15 +225,8 @@
 
 /// Writes a file for a process of this run.
 fn scratch(name: &str, text: &str) -> PathBuf {
-    let unique = format!(
-        "sapphirerack-{}-{:08x}-{name}",
-        std::process::id(),
-        fastrand::u32(..)
-    );
+    let unique = format!("sapphirerack-{}-{:08x}-{name}", std::process::id(), fastrand::u32(..));
     let path = std::env::temp_dir().join(unique);
-    std::fs::File::create(&path)
-        .unwrap()
-        .write_all(text.as_bytes())
-        .unwrap();
+    std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
     path
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,9 +12,7 @@
     match command.as_deref() {
         Some("demo") => {
             // The shipped binary is built into the same folder.
-            let program = std::env::current_exe()
-                .unwrap()
-                .with_file_name("sapphirerack");
+            let program = std::env::current_exe().unwrap().with_file_name("sapphirerack");
             let summary = sapphirerack_lab::demo::run(&program);
             println!("{}", serde_json::to_string(&summary).unwrap());
             ExitCode::SUCCESS
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -37,10 +37,7 @@
     pub fn start(address: SocketAddr) -> Self {
         let shared = Arc::new(Shared::default());
         let serving = shared.clone();
-        let config = Config {
-            workers: THREADS,
-            ..Config::new(address)
-        };
+        let config = Config { workers: THREADS, ..Config::new(address) };
         let server = serve(config, move |request| answer(&serving, &request)).unwrap();
         Self { server, shared }
     }
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -61,10 +61,7 @@
             served: AtomicUsize::new(0),
         });
         let serving = shared.clone();
-        let config = Config {
-            workers: threads,
-            ..Config::new(address)
-        };
+        let config = Config { workers: threads, ..Config::new(address) };
         let server = serve(config, move |request| answer(&serving, &request)).unwrap();
         Self { server, shared }
     }
@@ -106,10 +103,7 @@
     let query = String::from_utf8_lossy(&request.body);
     let behaviour = shared.behaviour.lock().unwrap().clone();
     let id = request.header("x-request-id").unwrap_or_default();
-    let snapshot = request
-        .header("x-snapshot")
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(0);
+    let snapshot = request.header("x-snapshot").and_then(|v| v.parse().ok()).unwrap_or(0);
     if !behaviour.held.contains(&snapshot) {
         return Response::json(409, &json!({ "held": behaviour.held }));
     }
@@ -126,11 +120,7 @@
 fn run(shared: &Shared, behaviour: &Behaviour) {
     let time = {
         let mut rng = shared.rng.lock().unwrap();
-        let factor = if rng.f64() < behaviour.stragglers {
-            10.0
-        } else {
-            1.0
-        };
+        let factor = if rng.f64() < behaviour.stragglers { 10.0 } else { 1.0 };
         behaviour.service.mul_f64(factor * (0.5 + rng.f64()))
     };
     let mut running = shared.running.lock().unwrap();
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -44,11 +44,7 @@
 impl Error {
     #[cold]
     pub(crate) fn new(step: &'static str, peer: &Arc<str>, code: Code) -> Self {
-        Self(Box::new(Inner {
-            step,
-            peer: peer.clone(),
-            code,
-        }))
+        Self(Box::new(Inner { step, peer: peer.clone(), code }))
     }
 
     /// Coarse kind of the error.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -33,9 +33,7 @@
 /// Sends a request with a body.
 pub(crate) fn send(request: RequestBuilder<WithBody>, timeout: Duration, body: &[u8]) -> Answer {
     let request = request.config().timeout_global(Some(timeout)).build();
-    request
-        .send(body)
-        .map_err(|e| Code::Unreachable(e.to_string()))
+    request.send(body).map_err(|e| Code::Unreachable(e.to_string()))
 }
 
 /// Reads a body of at most `limit` bytes.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -71,11 +71,7 @@
 impl Store {
     /// Client of the store at `address`; calls are given up after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self {
-            agent: http::agent(IDLE_LIMIT),
-            address: address.to_string().into(),
-            timeout,
-        }
+        Self { agent: http::agent(IDLE_LIMIT), address: address.to_string().into(), timeout }
     }
 
     /// Reads a key; `None` if it does not exist.
@@ -111,9 +107,7 @@
     /// taken effect.
     pub fn swap(&self, key: &str, expected: u64, bytes: &[u8]) -> Result<u64> {
         let step = "write key";
-        let request = self
-            .agent
-            .put(self.url(&format!("kv/{key}?version={expected}")));
+        let request = self.agent.put(self.url(&format!("kv/{key}?version={expected}")));
         let response = self.reached(step, http::send(request, self.timeout, bytes))?;
         match response.status().as_u16() {
             200 => self.version(step, &response),
@@ -152,10 +146,7 @@
             200 => {
                 let version = self.version(step, &response)?;
                 let bytes = http::bytes(&mut response, VALUE_LIMIT);
-                Ok(Some(Value {
-                    version,
-                    bytes: bytes.map_err(|c| self.error(step, c))?,
-                }))
+                Ok(Some(Value { version, bytes: bytes.map_err(|c| self.error(step, c))? }))
             }
             304 | 404 => Ok(None),
             status => Err(self.error(step, Code::Refused(status))),
@@ -163,10 +154,7 @@
     }
 
     fn version(&self, step: &'static str, response: &Response) -> Result<u64> {
-        let header = response
-            .headers()
-            .get(VERSION_HEADER)
-            .and_then(|v| v.to_str().ok());
+        let header = response.headers().get(VERSION_HEADER).and_then(|v| v.to_str().ok());
         let parsed = header.and_then(|v| v.parse().ok());
         parsed.ok_or_else(|| self.error(step, Code::Malformed("no version".into())))
     }
--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -80,10 +80,7 @@
     /// Client of the target at `address` that keeps up to `connections` idle ones.
     pub fn new(address: SocketAddr, connections: usize) -> Self {
         let agent = http::agent(connections);
-        Self {
-            agent,
-            address: address.to_string().into(),
-        }
+        Self { agent, address: address.to_string().into() }
     }
 
     /// Runs a search.
@@ -99,10 +96,7 @@
             .post(self.url("search"))
             .header("x-request-id", search.request)
             .header("x-snapshot", search.snapshot.to_string())
-            .header(
-                "x-span",
-                format!("{}-{}", search.span.start, search.span.end),
-            )
+            .header("x-span", format!("{}-{}", search.span.start, search.span.end))
             .header("x-route", search.route)
             .header("x-deadline-us", search.deadline.as_micros().to_string());
         let response = http::send(request, search.timeout, search.query);
@@ -120,8 +114,7 @@
     /// The target did not answer in time, or refused.
     pub fn cancel(&self, request: &str, timeout: Duration) -> Result<()> {
         let request = self.agent.post(self.url(&format!("cancel/{request}")));
-        self.accept("cancel request", http::send(request, timeout, &[]))
-            .map(drop)
+        self.accept("cancel request", http::send(request, timeout, &[])).map(drop)
     }
 
     /// Asks the target how it is.
@@ -130,10 +123,7 @@
     ///
     /// The target did not answer in time, refused, or sent something else.
     pub fn health(&self, timeout: Duration) -> Result<Health> {
-        self.json(
-            "read health",
-            http::fetch(self.agent.get(self.url("health")), timeout),
-        )
+        self.json("read health", http::fetch(self.agent.get(self.url("health")), timeout))
     }
 
     fn url(&self, path: &str) -> String {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,7 +27,7 @@
 mod route;
 mod snapshot;
 
-pub use crate::clock::{Clock, SystemClock};
+pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -37,9 +37,7 @@
     let key = format!("{}/{}", service.name, shard.name);
     let ranked = centres.into_iter().flat_map(|centre| {
         let hosts: Vec<&Host> = live.iter().filter(|h| h.data_centre == *centre).collect();
-        rank(key.as_bytes(), &hosts, |h| h.name.as_bytes())
-            .into_iter()
-            .take(OWNERS)
+        rank(key.as_bytes(), &hosts, |h| h.name.as_bytes()).into_iter().take(OWNERS)
     });
     ranked.cloned().collect()
 }
@@ -50,9 +48,6 @@
         let mut targets = shard.targets.iter();
         targets.any(|t| t.state == TargetState::Active && t.data_centre == *name)
     };
-    let present = catalogue
-        .data_centres
-        .iter()
-        .filter(|d| d.presence == Presence::In);
+    let present = catalogue.data_centres.iter().filter(|d| d.presence == Presence::In);
     present.map(|d| &d.name).filter(move |name| holds(name))
 }
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -28,8 +28,5 @@
             *totals.entry(*id).or_default() += partitions;
         }
     }
-    totals
-        .into_iter()
-        .max_by_key(|(id, partitions)| (*partitions, *id))
-        .map(|(id, _)| id)
+    totals.into_iter().max_by_key(|(id, partitions)| (*partitions, *id)).map(|(id, _)| id)
 }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -42,10 +42,7 @@
     /// # Errors
     ///
     /// The bytes are not a message; the stream can't be read any further.
-    #[expect(
-        clippy::should_implement_trait,
-        reason = "an iterator would not end at an error"
-    )]
+    #[expect(clippy::should_implement_trait, reason = "an iterator would not end at an error")]
     pub fn next(&mut self) -> Result<Option<Message>> {
         let rest = &self.bytes[self.read..];
         let Some((prefix, rest)) = rest.split_first_chunk::<PREFIX>() else {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,14 +14,17 @@
 //!
 //! # Modules
 //!
-//! - `message`: what hosts say to each other
+//! - `message`: envelopes of what hosts say to each other
+//! - `search`: sub-queries and their outcomes
 //! - `frame`: encoding, and cutting a stream into messages
 //! - `error`: the crate's error
 
 mod error;
 mod frame;
 mod message;
+mod search;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::frame::{Decoder, FRAME_LIMIT, encode};
-pub use crate::message::{Failure, Message, Part, Reply, Request, SubQuery, SubReply};
+pub use crate::message::{Message, Reply, Request};
+pub use crate::search::{Failure, Part, SubQuery, SubReply};
--- a/crates/sapphirerack/src/client.rs
+++ b/crates/sapphirerack/src/client.rs
@@ -26,10 +26,6 @@
     match response.status_code {
         200 => Ok(body),
         409 => Err(Error::conflict(path, host, body)),
-        status => Err(Error::refused(
-            path,
-            host,
-            format!("status {status}: {body}"),
-        )),
+        status => Err(Error::refused(path, host, format!("status {status}: {body}"))),
     }
 }
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -21,48 +21,24 @@
     #[error("{0}")]
     File(String),
     #[error("call {path} at {host}: {message}")]
-    Unreachable {
-        path: String,
-        host: String,
-        message: String,
-    },
+    Unreachable { path: String, host: String, message: String },
     #[error("call {path} at {host}: {message}")]
-    Refused {
-        path: String,
-        host: String,
-        message: String,
-    },
+    Refused { path: String, host: String, message: String },
     #[error("call {path} at {host}: conflict: {message}")]
-    Conflict {
-        path: String,
-        host: String,
-        message: String,
-    },
+    Conflict { path: String, host: String, message: String },
 }
 
 impl Error {
     pub(crate) fn unreachable(path: &str, host: &str, message: String) -> Self {
-        Self::Unreachable {
-            path: path.into(),
-            host: host.into(),
-            message,
-        }
+        Self::Unreachable { path: path.into(), host: host.into(), message }
     }
 
     pub(crate) fn refused(path: &str, host: &str, message: String) -> Self {
-        Self::Refused {
-            path: path.into(),
-            host: host.into(),
-            message,
-        }
+        Self::Refused { path: path.into(), host: host.into(), message }
     }
 
     pub(crate) fn conflict(path: &str, host: &str, message: String) -> Self {
-        Self::Conflict {
-            path: path.into(),
-            host: host.into(),
-            message,
-        }
+        Self::Conflict { path: path.into(), host: host.into(), message }
     }
 
     /// Exit code by which scripts tell errors apart.
@@ -79,9 +55,7 @@
 
 /// Runs the command that `args` name.
 pub(crate) fn run(args: &[String]) -> Result<(), Error> {
-    let (command, rest) = args
-        .split_first()
-        .ok_or_else(|| Error::Usage("no command".into()))?;
+    let (command, rest) = args.split_first().ok_or_else(|| Error::Usage("no command".into()))?;
     match command.as_str() {
         "serve" => serve(rest),
         "check" => check(rest),
@@ -107,9 +81,7 @@
 }
 
 fn host(matches: &getopts::Matches) -> Result<String, Error> {
-    matches
-        .opt_str("host")
-        .ok_or_else(|| Error::Usage("--host is missing".into()))
+    matches.opt_str("host").ok_or_else(|| Error::Usage("--host is missing".into()))
 }
 
 fn read(path: &Path) -> Result<String, Error> {
@@ -148,10 +120,7 @@
     let matches = parse(args)?;
     let text = read(free(&matches, "catalogue file")?)?;
     let change = format!("{:016x}", fastrand::u64(..));
-    println!(
-        "{}",
-        client::put_catalogue(&host(&matches)?, &change, text)?
-    );
+    println!("{}", client::put_catalogue(&host(&matches)?, &change, text)?);
     Ok(())
 }
 
--- a/crates/sapphirerack/tests/thin_path.rs
+++ b/crates/sapphirerack/tests/thin_path.rs
@@ -42,11 +42,7 @@
         assert_eq!(answer["snapshot"], 1);
         let parts = answer["parts"].as_array().unwrap();
         assert_eq!(parts.len(), 4);
-        assert!(
-            parts
-                .iter()
-                .all(|p| p["results"][0]["query"] == "spare clock")
-        );
+        assert!(parts.iter().all(|p| p["results"][0]["query"] == "spare clock"));
     }
 }
 
@@ -55,10 +51,8 @@
     let fleet = fleet();
 
     let url = format!("http://{}/search/none", fleet.hosts[0].callers);
-    let agent: ureq::Agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .build()
-        .into();
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().http_status_as_error(false).build().into();
     let mut response = agent.post(url).send("x").unwrap();
     let refusal: Value =
         serde_json::from_slice(&response.body_mut().read_to_vec().unwrap()).unwrap();
