Give each command a module, help and an exit code of its own

Cause: one file held all commands; errors printed the whole usage, and scripts could not tell an unreachable host from a refusal.

Found by the new tests: getopts panics when asked for an option that a command never defined; 'status' ended with code 101 instead of 4. Args::value asks for the definition first.

Conclusion: command_line.rs holds what scripts rely on.

--- a/crates/sapphirerack/src/client.rs
+++ b/crates/sapphirerack/src/client.rs
@@ -1,31 +1,114 @@
 //! Operators' calls to an entry host.
 
-use crate::command::Error;
+use serde_json::Value;
+
+use crate::error::{Error, Result};
 
 /// Seconds after which a call is given up.
 const TIMEOUT: u64 = 10;
 
-/// Reads a path of the host at `host`.
-pub(crate) fn get(host: &str, path: &str) -> Result<String, Error> {
-    send(host, path, minreq::get(format!("http://{host}{path}")))
-}
+/// Variable that holds the member's key if no file is given.
+const KEY_VARIABLE: &str = "SAPPHIRERACK_KEY";
 
-/// Sends a new catalogue to the host at `host`, as the change `change`.
-pub(crate) fn put_catalogue(host: &str, change: &str, text: String) -> Result<String, Error> {
-    let path = "/catalogue";
-    let request = minreq::put(format!("http://{host}{path}"))
-        .with_header("x-change-id", change)
-        .with_body(text);
-    send(host, path, request)
+/// Client of one entry host.
+pub(crate) struct Client {
+    host: String,
+    member: Option<String>,
+    key: Option<String>,
 }
 
-fn send(host: &str, path: &str, request: minreq::Request) -> Result<String, Error> {
-    let response = request.with_timeout(TIMEOUT).send();
-    let response = response.map_err(|e| Error::unreachable(path, host, e.to_string()))?;
-    let body = response.as_str().unwrap_or_default().to_owned();
-    match response.status_code {
-        200 => Ok(body),
-        409 => Err(Error::conflict(path, host, body)),
-        status => Err(Error::refused(path, host, format!("status {status}: {body}"))),
+impl Client {
+    /// Client of the host at `host`, acting for `member`.
+    ///
+    /// # Errors
+    ///
+    /// The key file can't be read.
+    pub(crate) fn new(
+        host: String,
+        member: Option<String>,
+        key_file: Option<&str>,
+    ) -> Result<Self> {
+        let key = match key_file {
+            Some(path) => Some(read(path)?.trim().to_owned()),
+            None => std::env::var(KEY_VARIABLE).ok(),
+        };
+        Ok(Self { host, member, key })
+    }
+
+    /// Reads `path`.
+    ///
+    /// # Errors
+    ///
+    /// No answer, or a refusal.
+    pub(crate) fn get(&self, step: &'static str, path: &str) -> Result<Value> {
+        self.send(step, minreq::get(self.url(path)))
+    }
+
+    /// Puts `body` at `path`, as the change `change`.
+    ///
+    /// # Errors
+    ///
+    /// No answer, a refusal or a conflict.
+    pub(crate) fn put(
+        &self,
+        step: &'static str,
+        path: &str,
+        change: &str,
+        body: String,
+    ) -> Result<Value> {
+        let request = minreq::put(self.url(path)).with_header("x-change-id", change);
+        self.send(step, request.with_body(body))
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.host)
     }
+
+    fn send(&self, step: &'static str, request: minreq::Request) -> Result<Value> {
+        let mut request = request.with_timeout(TIMEOUT);
+        if let Some(member) = &self.member {
+            request = request.with_header("x-member", member);
+        }
+        if let Some(key) = &self.key {
+            request = request.with_header("authorization", format!("Bearer {key}"));
+        }
+        let peer = self.host.clone();
+        let response = match request.send() {
+            Ok(response) => response,
+            Err(e) => return Err(Error::Unreachable { step, peer, message: e.to_string() }),
+        };
+        let status = response.status_code;
+        let body = response.as_str().unwrap_or_default();
+        match status {
+            200 => serde_json::from_str(body).map_err(|e| Error::Unreachable {
+                step,
+                peer,
+                message: e.to_string(),
+            }),
+            409 => Err(Error::Conflict { step, peer, message: reason(body) }),
+            504 => Err(Error::Unknown { step, peer, message: reason(body) }),
+            _ => Err(Error::Refused { step, peer, status, message: reason(body) }),
+        }
+    }
+}
+
+/// Reads a file that the operator named.
+///
+/// # Errors
+///
+/// The file can't be read.
+pub(crate) fn read(path: &str) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|e| Error::File(format!("read {path}: {e}")))
+}
+
+/// Unique id of a change.
+pub(crate) fn change_id() -> String {
+    format!("{:016x}", fastrand::u64(..))
+}
+
+/// What a refusal says, on one line.
+fn reason(body: &str) -> String {
+    let parsed: Option<Value> = serde_json::from_str(body).ok();
+    let error = parsed.as_ref().and_then(|v| v["error"].as_str());
+    error.unwrap_or(body).replace('\n', " ")
 }
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -1,131 +1,127 @@
-//! Commands of the command line.
-
-use std::path::Path;
-use std::process::ExitCode;
-
-use getopts::Options;
-
-use crate::client;
-
-const USAGE: &str = "usage: sapphirerack serve SETTINGS
-       sapphirerack check (SETTINGS | --catalogue CATALOGUE)
-       sapphirerack apply --host ADDRESS CATALOGUE
-       sapphirerack get --host ADDRESS
-       sapphirerack status --host ADDRESS";
-
-/// Why a command failed.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum Error {
-    #[error("{0}\n{USAGE}")]
-    Usage(String),
-    #[error("{0}")]
-    File(String),
-    #[error("call {path} at {host}: {message}")]
-    Unreachable { path: String, host: String, message: String },
-    #[error("call {path} at {host}: {message}")]
-    Refused { path: String, host: String, message: String },
-    #[error("call {path} at {host}: conflict: {message}")]
-    Conflict { path: String, host: String, message: String },
+//! The list of commands, their options and help.
+
+use getopts::{Matches, Options};
+
+use crate::client::Client;
+use crate::error::{Error, Result};
+use crate::{apply, check, get, serve, status};
+
+const COMMANDS: [&Command; 5] =
+    [&serve::COMMAND, &check::COMMAND, &apply::COMMAND, &get::COMMAND, &status::COMMAND];
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 can't run, 2 usage, 3 file refused, \
+     4 no answer, 5 refused, 6 conflict, 7 outcome unknown";
+
+/// A command of the command line.
+pub(crate) struct Command {
+    /// Name.
+    pub name: &'static str,
+    /// What it does, in one line.
+    pub summary: &'static str,
+    /// Names of its operands.
+    pub operands: &'static [&'static str],
+    /// Adds its options.
+    pub options: fn(&mut Options),
+    /// Runs it.
+    pub run: fn(&Args) -> Result<()>,
 }
 
-impl Error {
-    pub(crate) fn unreachable(path: &str, host: &str, message: String) -> Self {
-        Self::Unreachable { path: path.into(), host: host.into(), message }
-    }
+/// Options and operands of a command that is run.
+pub(crate) struct Args {
+    matches: Matches,
+}
 
-    pub(crate) fn refused(path: &str, host: &str, message: String) -> Self {
-        Self::Refused { path: path.into(), host: host.into(), message }
+impl Args {
+    /// Operand at `index`; the parser has checked that it is there.
+    pub(crate) fn operand(&self, index: usize) -> &str {
+        &self.matches.free[index]
     }
 
-    pub(crate) fn conflict(path: &str, host: &str, message: String) -> Self {
-        Self::Conflict { path: path.into(), host: host.into(), message }
+    /// Whether an option without value is given.
+    pub(crate) fn is_set(&self, option: &str) -> bool {
+        self.matches.opt_present(option)
     }
 
-    /// Exit code by which scripts tell errors apart.
-    pub(crate) fn exit_code(&self) -> ExitCode {
-        ExitCode::from(match self {
-            Self::Usage(_) => 2,
-            Self::File(_) => 3,
-            Self::Unreachable { .. } => 4,
-            Self::Refused { .. } => 5,
-            Self::Conflict { .. } => 6,
-        })
+    /// Value of an option; `None` also if the command does not have the option.
+    pub(crate) fn value(&self, option: &str) -> Option<String> {
+        // The library panics when asked for an option that was never defined.
+        self.matches.opt_defined(option).then(|| self.matches.opt_str(option)).flatten()
     }
-}
 
-/// Runs the command that `args` name.
-pub(crate) fn run(args: &[String]) -> Result<(), Error> {
-    let (command, rest) = args.split_first().ok_or_else(|| Error::Usage("no command".into()))?;
-    match command.as_str() {
-        "serve" => serve(rest),
-        "check" => check(rest),
-        "apply" => apply(rest),
-        "get" => show(rest, "/catalogue"),
-        "status" => show(rest, "/status"),
-        other => Err(Error::Usage(format!("unknown command {other:?}"))),
+    /// Client of the entry host that `--host` names.
+    ///
+    /// # Errors
+    ///
+    /// No host is named, or the key can't be read.
+    pub(crate) fn client(&self) -> Result<Client> {
+        let host = self.value("host").ok_or_else(|| Error::Usage("--host is missing".into()))?;
+        Client::new(host, self.value("member"), self.value("key-file").as_deref())
     }
 }
 
-fn parse(args: &[String]) -> Result<getopts::Matches, Error> {
-    let mut options = Options::new();
+/// Adds the options of commands that call an entry host.
+pub(crate) fn call_options(options: &mut Options) {
     options.optopt("", "host", "operators' address of an entry host", "ADDRESS");
-    options.optflag("", "catalogue", "check a catalogue");
-    options.parse(args).map_err(|e| Error::Usage(e.to_string()))
-}
-
-fn free<'a>(matches: &'a getopts::Matches, what: &str) -> Result<&'a Path, Error> {
-    match matches.free.as_slice() {
-        [one] => Ok(Path::new(one)),
-        _ => Err(Error::Usage(format!("expected one {what}"))),
-    }
-}
-
-fn host(matches: &getopts::Matches) -> Result<String, Error> {
-    matches.opt_str("host").ok_or_else(|| Error::Usage("--host is missing".into()))
+    options.optflag("", "json", "print JSON");
 }
 
-fn read(path: &Path) -> Result<String, Error> {
-    std::fs::read_to_string(path).map_err(|e| Error::File(format!("read {}: {e}", path.display())))
+/// Adds the options of commands that change something.
+pub(crate) fn change_options(options: &mut Options) {
+    call_options(options);
+    options.optopt("", "member", "member on whose behalf the change is made", "NAME");
+    options.optopt("", "key-file", "file with the member's key (or SAPPHIRERACK_KEY)", "FILE");
 }
 
-fn file_error(path: &Path, error: impl std::fmt::Display) -> Error {
-    Error::File(format!("{}: {error}", path.display()))
+/// Runs the command that `args` name.
+///
+/// # Errors
+///
+/// Whatever the command fails with.
+pub(crate) fn run(args: &[String]) -> Result<()> {
+    let (name, rest) = args.split_first().ok_or_else(|| Error::Usage("no command".into()))?;
+    match name.as_str() {
+        "--help" | "-h" | "help" => print_help(),
+        "--version" | "-V" => println!("sapphirerack {}", env!("CARGO_PKG_VERSION")),
+        name => return run_command(find(name)?, rest),
+    }
+    Ok(())
 }
 
-fn serve(args: &[String]) -> Result<(), Error> {
-    let matches = parse(args)?;
-    let path = free(&matches, "settings file")?;
-    let settings = sapphirerack_host::from_text(&read(path)?).map_err(|e| file_error(path, e))?;
-    let env = env_logger::Env::default().default_filter_or(&*settings.log);
-    env_logger::Builder::from_env(env).init();
-    let host = sapphirerack_host::serve(&settings).map_err(|e| file_error(path, e))?;
-    host.join();
-    Ok(())
+fn find(name: &str) -> Result<&'static Command> {
+    let found = COMMANDS.into_iter().find(|c| c.name == name);
+    found.ok_or_else(|| Error::Usage(format!("unknown command {name:?}")))
 }
 
-fn check(args: &[String]) -> Result<(), Error> {
-    let matches = parse(args)?;
-    let path = free(&matches, "file")?;
-    let text = read(path)?;
-    if matches.opt_present("catalogue") {
-        sapphirerack_catalogue::from_text(&text).map_err(|e| file_error(path, e))?;
-    } else {
-        sapphirerack_host::from_text(&text).map_err(|e| file_error(path, e))?;
+fn run_command(command: &Command, args: &[String]) -> Result<()> {
+    let mut options = Options::new();
+    (command.options)(&mut options);
+    options.optflag("h", "help", "print this help");
+    let usage = |e: String| Error::Usage(format!("{}: {e}", command.name));
+    let matches = options.parse(args).map_err(|e| usage(e.to_string()))?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(&brief(command)));
+        return Ok(());
     }
-    println!("{}: ok", path.display());
-    Ok(())
+    if matches.free.len() != command.operands.len() {
+        let expected = match command.operands {
+            [] => "no operands".to_owned(),
+            names => names.join(" "),
+        };
+        return Err(usage(format!("expected {expected}, found {:?}", matches.free.join(" "))));
+    }
+    (command.run)(&Args { matches })
 }
 
-fn apply(args: &[String]) -> Result<(), Error> {
-    let matches = parse(args)?;
-    let text = read(free(&matches, "catalogue file")?)?;
-    let change = format!("{:016x}", fastrand::u64(..));
-    println!("{}", client::put_catalogue(&host(&matches)?, &change, text)?);
-    Ok(())
+fn brief(command: &Command) -> String {
+    let operands: String = command.operands.iter().map(|o| format!(" {o}")).collect();
+    format!("{}\n\nUsage: sapphirerack {} [OPTIONS]{operands}", command.summary, command.name)
 }
 
-fn show(args: &[String], path: &str) -> Result<(), Error> {
-    let matches = parse(args)?;
-    println!("{}", client::get(&host(&matches)?, path)?);
-    Ok(())
+fn print_help() {
+    println!("sapphirerack: a query tier between callers and many shards\n");
+    println!("Usage: sapphirerack COMMAND [OPTIONS] [OPERANDS]\n\nCommands:");
+    for command in COMMANDS {
+        println!("    {:<10} {}", command.name, command.summary);
+    }
+    println!("\n'sapphirerack COMMAND --help' tells more.\n{EXIT_CODES}.");
 }
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -1,7 +1,25 @@
 //! The sapphirerack daemon and its operators' command line.
+//!
+//! One binary serves as entry host (`sapphirerack serve`) and as the operators' client. Each
+//! command stands in a module of its own and is listed in `command`.
+//!
+//! # Modules
+//!
+//! - `command`: the list of commands, their options and help
+//! - `serve`, `check`, `apply`, `get`, `status`: the commands
+//! - `client`: operators' calls to an entry host
+//! - `output`: text for people, JSON for machines
+//! - `error`: errors and their exit codes
 
+mod apply;
+mod check;
 mod client;
 mod command;
+mod error;
+mod get;
+mod output;
+mod serve;
+mod status;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/sapphirerack/tests/command_line.rs
@@ -0,0 +1,132 @@
+//! What the command line promises to people and scripts.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+const SETTINGS: &str = r#"{
+    "name": "a", "data_centre": "leith", // comment
+    "listen": {
+        "callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "hosts": "127.0.0.1:3"
+    },
+    "store": { "address": "127.0.0.1:4" }
+}"#;
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sapphirerack")).args(args).output().unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn error(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("sapphirerack-cli-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn check(name: &str, text: &str) -> Output {
+    let path = file(name, text);
+    let output = run(&["check", path.to_str().unwrap()]);
+    std::fs::remove_file(path).unwrap();
+    output
+}
+
+/// Address on which nobody listens.
+fn closed_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+#[test]
+fn help_and_version_succeed() {
+    let commands = ["serve", "check", "apply", "get", "status"];
+
+    for command in commands {
+        let output = run(&[command, "--help"]);
+
+        assert_eq!(code(&output), 0, "{command}");
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert!(text.contains(&format!("Usage: sapphirerack {command}")), "{text}");
+    }
+    assert_eq!(code(&run(&["--help"])), 0);
+    assert!(run(&["--version"]).stdout.starts_with(b"sapphirerack "));
+}
+
+#[test]
+fn wrong_usage_gives_one_line_and_code_2() {
+    let cases: [&[&str]; 6] = [
+        &[],
+        &["launch"],
+        &["status"],
+        &["status", "--hots", "x"],
+        &["check"],
+        &["get", "--host", "127.0.0.1:1", "operand"],
+    ];
+
+    for args in cases {
+        let output = run(args);
+
+        assert_eq!(code(&output), 2, "{args:?}");
+        assert_eq!(error(&output).lines().count(), 1, "{args:?}: {}", error(&output));
+    }
+}
+
+#[test]
+fn unreachable_host_gives_step_and_peer_and_code_4() {
+    let address = closed_address();
+
+    let output = run(&["status", "--host", &address]);
+
+    assert_eq!(code(&output), 4);
+    assert!(error(&output).starts_with(&format!("sapphirerack: get status at {address}: ")));
+    assert_eq!(error(&output).lines().count(), 1);
+}
+
+#[test]
+fn good_settings_are_accepted() {
+    let output = check("good.json", SETTINGS);
+
+    assert_eq!(code(&output), 0, "{}", error(&output));
+}
+
+#[test]
+fn bad_settings_are_refused_with_file_and_place() {
+    let cases = [
+        ("unknown.json", SETTINGS.replace("\"name\"", "\"nmae\""), "unknown field `nmae`"),
+        ("empty.json", SETTINGS.replace("\"a\"", "\"\""), "name: "),
+        ("address.json", SETTINGS.replace("127.0.0.1:4", "store"), "line 6"),
+        ("cut.json", SETTINGS[..40].to_owned(), "line 2"),
+        (
+            "unit.json",
+            SETTINGS.replace("\"127.0.0.1:4\"", "\"127.0.0.1:4\", \"timeout\": \"5 parsecs\""),
+            "unknown time unit",
+        ),
+        (
+            "zero.json",
+            SETTINGS.replace("\"store\"", "\"limits\": { \"requests\": 0 }, \"store\""),
+            "limits.requests: 0, expected",
+        ),
+        (
+            "level.json",
+            SETTINGS.replace("\"store\"", "\"log\": \"loud\", \"store\""),
+            "log: \"loud\", expected",
+        ),
+    ];
+
+    for (name, text, expected) in cases {
+        let output = check(name, &text);
+
+        assert_eq!(code(&output), 3, "{name}");
+        let message = error(&output);
+        assert!(message.contains(name), "{message}");
+        assert!(message.contains(expected), "{message}");
+    }
+}
