--- a/crates/sapphirerack/tests/command_line.rs
+++ b/crates/sapphirerack/tests/command_line.rs
@@ -107,7 +107,7 @@
         (
             "unit.json",
             SETTINGS.replace("\"127.0.0.1:4\"", "\"127.0.0.1:4\", \"timeout\": \"5 parsecs\""),
-            "unknown time unit",
+            "expected a duration at line 6",
         ),
         (
             "zero.json",
