Refuse input outside the limits, and show that none ends a host

Cause: timeouts, request ids and routes were taken at any length and value; nothing showed that malformed bytes at a port do no harm.

Ruled out as a fault of the host: 'apply failed' in 1 of 4 test runs. Hosts' ports were picked from the range that the system also gives to outgoing connections, and apply ran before the host listened. Ports now come from below that range, and apply waits for the health endpoint.

Change: limits.timeout in the settings; ids and routes are checked; each answer carries a request id, which log lines repeat. The 24 h timeout was first answered with 200.

--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -17,6 +17,7 @@
 use crate::{Error, Result};
 
 const SEARCH_PREFIX: &str = "/search/";
+const REQUEST_HEADER: &str = "x-request-id";
 const TIMEOUT_HEADER: &str = "x-timeout-ms";
 const ROUTE_HEADER: &str = "x-route";
 const DEFAULT_ROUTE: &str = "default";
@@ -24,6 +25,7 @@
 /// Answer as callers see it.
 #[derive(Serialize)]
 struct Body<'a> {
+    request: &'a str,
     service: &'a str,
     snapshot: u64,
     coverage: f64,
@@ -76,8 +78,11 @@
 
     fn search(&self, request: &Request, service: &str) -> Response {
         match self.query(request, service) {
-            Ok(query) => self.run(&query),
-            Err(error) => Response::refuse(400, error, true),
+            Ok(query) => self.run(&query).with(REQUEST_HEADER, &*query.request),
+            Err(error) => {
+                self.metrics.refused("bad request");
+                Response::refuse(400, error, true)
+            }
         }
     }
 
@@ -87,19 +92,36 @@
             Some(Ok(ms)) if ms > 0 => Some(Duration::from_millis(ms)),
             Some(_) => return Err("x-timeout-ms: expected milliseconds above 0"),
         };
+        if timeout.is_some_and(|t| t > self.limits.timeout) {
+            return Err("x-timeout-ms: above the host's limit");
+        }
+        let id = request.header(REQUEST_HEADER).map_or_else(request_id, Name::from);
+        if id.len() > self.limits.header || !is_plain(&id) {
+            return Err("x-request-id: expected a short id of letters, digits, '-', '_' or '.'");
+        }
         let route = request.header(ROUTE_HEADER).unwrap_or(DEFAULT_ROUTE);
-        if route.len() > self.limits.header {
-            return Err("x-route: too long");
+        if route.len() > self.limits.header || !is_plain(route) {
+            return Err("x-route: expected a short name of letters, digits, '-', '_' or '.'");
         }
-        let route: Name = route.into();
-        Ok(Query { service: service.into(), route, body: request.body.clone(), timeout })
+        Ok(Query {
+            request: id,
+            service: service.into(),
+            route: route.into(),
+            body: request.body.clone(),
+            timeout,
+        })
     }
 
     fn run(&self, query: &Query) -> Response {
         match self.gather.search(query) {
-            Ok(gathered) => answer(query, &gathered),
+            Ok(gathered) => {
+                log_answer(query, &gathered);
+                answer(query, &gathered)
+            }
             Err(refusal) => {
                 let (status, reason) = refusal.describe();
+                let Query { request, service, .. } = query;
+                log::debug!("step=refuse request={request} service={service} reason={reason:?}");
                 self.metrics.refused(reason);
                 Response::refuse(status, reason, true)
             }
@@ -107,12 +129,34 @@
     }
 }
 
+/// Unique id for a request whose caller gave none.
+fn request_id() -> Name {
+    format!("{:016x}", fastrand::u64(..)).into()
+}
+
+/// Whether a name may stand in a log line and in a header.
+fn is_plain(name: &str) -> bool {
+    !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
+}
+
+fn log_answer(query: &Query, gathered: &Gathered) {
+    log::debug!(
+        "step=answer request={} service={} snapshot={} coverage={} cut={}",
+        query.request,
+        query.service,
+        gathered.snapshot,
+        gathered.coverage.fraction(),
+        gathered.cut
+    );
+}
+
 fn answer(query: &Query, gathered: &Gathered) -> Response {
     let parts = gathered.parts.iter().filter_map(|(shard, part)| {
         let results: &RawValue = serde_json::from_str(&part.results).ok()?;
         Some(PartBody { shard, span: part.span, results })
     });
     let body = Body {
+        request: &query.request,
         service: &query.service,
         snapshot: gathered.snapshot,
         coverage: gathered.coverage.fraction(),
--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -27,6 +27,7 @@
 
 /// A caller's query.
 pub(crate) struct Query {
+    pub request: Name,
     pub service: Name,
     pub route: Name,
     pub body: Vec<u8>,
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -59,13 +59,16 @@
     pub requests: usize,
     /// Largest body, in bytes.
     pub body: usize,
-    /// Longest header value that the host reads, in bytes.
+    /// Longest request id, route or key, in bytes.
     pub header: usize,
+    /// Longest timeout that a caller may ask for.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { requests: 128, body: 64 << 10, header: 256 }
+        Self { requests: 128, body: 64 << 10, header: 256, timeout: Duration::from_secs(10) }
     }
 }
 
@@ -100,6 +103,9 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    if limits.timeout.is_zero() {
+        return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
+    }
     if settings.log.parse::<log::LevelFilter>().is_err() {
         let found = &settings.log;
         return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -20,6 +20,9 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Ports for hosts. The system takes ports for outgoing connections from 32768 on.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Loopback address with any free port.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -108,6 +111,7 @@
 
     /// Puts the catalogue into force through the operators' command line.
     pub fn apply(&self, program: &Path) {
+        await_answer(&self.hosts[0], "healthz");
         let text = serde_json::to_string(&self.catalogue).unwrap();
         let file = scratch("catalogue.json", &text);
         let status = Command::new(program)
@@ -122,19 +126,21 @@
 
     /// Waits until every host says that it is ready.
     pub fn await_ready(&self) {
-        let limit = Instant::now() + READY_LIMIT;
         for host in &self.hosts {
-            while !is_ready(host) {
-                assert!(Instant::now() < limit, "{} does not become ready", host.name);
-                thread::sleep(READY_PAUSE);
-            }
+            await_answer(host, "readyz");
         }
     }
 }
 
-fn is_ready(host: &HostProcess) -> bool {
-    let url = format!("http://{}/readyz", host.operators);
-    minreq::get(url).with_timeout(1).send().is_ok_and(|r| r.status_code == 200)
+/// Waits until a host answers 200 at `path` on the operators' front.
+fn await_answer(host: &HostProcess, path: &str) {
+    let limit = Instant::now() + READY_LIMIT;
+    let url = format!("http://{}/{path}", host.operators);
+    let get = || minreq::get(&url).with_timeout(1).send();
+    while !get().is_ok_and(|r| r.status_code == 200) {
+        assert!(Instant::now() < limit, "{} does not answer {path}", host.name);
+        thread::sleep(READY_PAUSE);
+    }
 }
 
 fn entry(host: &HostProcess) -> HostEntry {
@@ -217,10 +223,13 @@
     }
 }
 
-/// Three ports that were free a moment ago.
+/// Three ports that were free a moment ago, below those that the system hands to clients.
 fn free_ports() -> [SocketAddr; 3] {
-    let held = [(); 3].map(|()| TcpListener::bind(LOOPBACK).unwrap());
-    held.each_ref().map(|l| l.local_addr().unwrap())
+    [(); 3].map(|()| {
+        let mut any =
+            std::iter::repeat_with(|| SocketAddr::new(LOOPBACK.ip(), fastrand::u16(PORTS)));
+        any.find(|address| TcpListener::bind(address).is_ok()).unwrap()
+    })
 }
 
 /// Writes a file for a process of this run.
--- /dev/null
+++ b/crates/sapphirerack/tests/bad_input.rs
@@ -0,0 +1,101 @@
+//! No input ends a host or a thread of it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::time::Duration;
+
+use fastrand::Rng;
+use sapphirerack_lab::fleet::{Fleet, Shape};
+use ureq::Agent;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
+const SEED: u64 = 11;
+
+fn fleet() -> Fleet {
+    let shape = Shape {
+        data_centres: vec!["leith".into()],
+        hosts: 2,
+        shards: 3,
+        slots: 2,
+        service: Duration::from_millis(1),
+        stragglers: 0.0,
+        seed: SEED,
+    };
+    let fleet = Fleet::start(Path::new(PROGRAM), &shape);
+    fleet.apply(Path::new(PROGRAM));
+    fleet.await_ready();
+    fleet
+}
+
+fn agent() -> Agent {
+    Agent::config_builder().http_status_as_error(false).build().into()
+}
+
+fn search(fleet: &Fleet) -> u16 {
+    let url = format!("http://{}/search/search", fleet.hosts[0].callers);
+    agent().post(url).send("x").unwrap().status().as_u16()
+}
+
+/// Sends bytes and waits until the host closes the connection or nothing more comes.
+fn throw(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    // The host may close the connection before it has read all.
+    let _ = stream.write_all(bytes);
+    let _ = stream.read(&mut [0; 64]);
+}
+
+#[test]
+fn random_bytes_at_every_port_do_no_harm() {
+    let fleet = fleet();
+    let mut rng = Rng::with_seed(SEED);
+    let host = &fleet.hosts[0];
+
+    for round in 0..60 {
+        let len = rng.usize(1..2000);
+        let mut bytes: Vec<u8> = std::iter::repeat_with(|| rng.u8(..)).take(len).collect();
+        if round % 2 == 0 {
+            // A plausible frame length, so that the body is decoded.
+            let len = u32::try_from(len.saturating_sub(4)).unwrap();
+            bytes.splice(..4.min(bytes.len()), len.to_le_bytes());
+        }
+        for address in [host.callers, host.operators, host.hosts] {
+            throw(address, &bytes);
+        }
+    }
+
+    assert_eq!(search(&fleet), 200);
+}
+
+#[test]
+fn requests_outside_the_limits_get_a_4xx_as_not_run() {
+    let fleet = fleet();
+    let base = format!("http://{}/search", fleet.hosts[0].callers);
+    let long = "x".repeat(10_000);
+    let big = vec![b'x'; 200_000];
+    let agent = agent();
+    let post = |path: &str| agent.post(format!("{base}{path}"));
+
+    let responses = [
+        post("/search").send(&big[..]),
+        post("/search").header("x-timeout-ms", "soon").send("x"),
+        post("/search").header("x-timeout-ms", "0").send("x"),
+        post("/search").header("x-timeout-ms", "99999999999999999999").send("x"),
+        post("/search").header("x-timeout-ms", "86400000").send("x"),
+        post("/search").header("x-route", &long).send("x"),
+        post("/none").send("x"),
+        post(&format!("/{long}")).send("x"),
+        agent.get(format!("{base}/search")).call(),
+    ];
+
+    for (i, response) in responses.into_iter().enumerate() {
+        let mut response = response.unwrap();
+        let body = response.body_mut().read_to_string().unwrap();
+        assert!(response.status().is_client_error(), "case {i}: {}", response.status());
+        assert!(body.contains("\"not_run\":true"), "case {i}: {body}");
+    }
+    assert_eq!(search(&fleet), 200);
+}
