--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -164,6 +164,7 @@
                 stragglers: shape.stragglers,
                 held: vec![1],
                 seed: shape.seed.wrapping_add(servers.len() as u64),
+                ..Behaviour::default()
             };
             let server = TargetServer::start(LOOPBACK, behaviour);
             replicas.push(Target {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,14 +4,22 @@
 //!
 //! # Modules
 //!
+//! - `server`: HTTP server of the stand-ins
 //! - `store`: the platform's store and host list
 //! - `target`: targets
+//! - `behaviour`: what a target is like, and its faults
+//! - `slots`: what runs and waits at a target
+//! - `relay`: cuts and delays between processes
 //! - `fleet`: entry hosts as processes
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod behaviour;
 pub mod demo;
 pub mod fleet;
+pub mod relay;
+mod server;
+mod slots;
 pub mod store;
 pub mod target;
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -1,107 +1,354 @@
 //! Stand-in for the platform's store and host list.
 //!
 //! Keys carry a version that rises with every write; writes are compare-and-swap; a read with
-//! `after` and `wait_ms` waits until the version is above `after`.
+//! `after` and `wait_ms` waits until the version is above `after`. Calls are counted by kind, a
+//! waiting watch as one. Faults are set with [`Door::update`] while it runs; each data centre can
+//! have a door of its own, with faults and a host list of its own.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex};
+use std::ops::Deref;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use sapphirerack_catalogue::Map;
-use sapphirerack_http::{Config, Method, Request, Response, Server, serve};
+use sapphirerack_http::{Method, Request};
 use sapphirerack_platform::HostEntry;
+use tokio::sync::watch;
 
-/// Threads that serve calls; a waiting watch occupies one.
-const THREADS: usize = 64;
+use crate::server::{Gate, Listener, Reply};
+
+/// Largest value, in bytes.
+const VALUE_LIMIT: usize = 1 << 20;
+
+/// Time for which a lost answer keeps its caller waiting.
+const LOST_TIME: Duration = Duration::from_secs(30);
+
+/// What goes wrong at a door of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreFault {
+    /// Time that every call takes.
+    pub latency: Duration,
+    /// No call is answered, none takes effect.
+    pub outage: bool,
+    /// Share of the calls that are refused with status 503, without effect.
+    pub refused: f64,
+    /// Share of the writes that take effect and whose connection closes without an answer.
+    pub lost: f64,
+    /// Share of the writes that take effect and whose answer never comes.
+    pub silent: f64,
+    /// Share of the reads that return the value before the present one.
+    pub stale: f64,
+    /// Reads, watches and host lists a second; calls beyond are refused with status 429.
+    pub read_rate: Option<u64>,
+    /// Writes a second; calls beyond are refused with status 429.
+    pub write_rate: Option<u64>,
+    /// Time by which the host list lags.
+    pub lag: Duration,
+}
+
+impl Default for StoreFault {
+    fn default() -> Self {
+        Self {
+            latency: Duration::ZERO,
+            outage: false,
+            refused: 0.0,
+            lost: 0.0,
+            silent: 0.0,
+            stale: 0.0,
+            read_rate: None,
+            write_rate: None,
+            lag: Duration::ZERO,
+        }
+    }
+}
+
+/// Calls that the store has seen, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads that did not wait.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Writes that found another version.
+    pub conflicts: u64,
+    /// Reads of the host list.
+    pub hosts: u64,
+    /// Calls refused, or cut off by an outage.
+    pub refused: u64,
+    /// Bytes of bodies received.
+    pub bytes_in: u64,
+    /// Bytes of bodies sent.
+    pub bytes_out: u64,
+}
+
+impl Calls {
+    /// Calls that count against the store's read rate.
+    pub fn all_reads(&self) -> u64 {
+        self.reads + self.watches + self.hosts
+    }
+}
 
 #[derive(Default)]
-struct State {
-    values: Map<String, (u64, Vec<u8>)>,
-    hosts: Vec<HostEntry>,
+struct Value {
+    version: u64,
+    bytes: Vec<u8>,
+    before: Option<(u64, Vec<u8>)>,
 }
 
 #[derive(Default)]
+struct State {
+    values: Map<String, Value>,
+    calls: Calls,
+}
+
 struct Shared {
     state: Mutex<State>,
-    changed: Condvar,
+    changed: watch::Sender<()>,
+}
+
+struct Inner {
+    shared: Arc<Shared>,
+    fault: Mutex<StoreFault>,
+    rng: Mutex<Rng>,
+    hosts: Mutex<Vec<(Instant, Vec<HostEntry>)>>,
+    rates: Mutex<Rates>,
+}
+
+/// Calls of the second that runs.
+struct Rates {
+    start: Instant,
+    reads: u64,
+    writes: u64,
+}
+
+/// A way in to the store.
+pub struct Door {
+    listener: Listener,
+    inner: Arc<Inner>,
+}
+
+impl Door {
+    fn start(address: SocketAddr, shared: Arc<Shared>, seed: u64) -> Self {
+        let inner = Arc::new(Inner {
+            shared,
+            fault: Mutex::default(),
+            rng: Mutex::new(Rng::with_seed(seed)),
+            hosts: Mutex::default(),
+            rates: Mutex::new(Rates { start: Instant::now(), reads: 0, writes: 0 }),
+        });
+        let serving = inner.clone();
+        let gate = Gate::new(usize::MAX, Duration::ZERO);
+        let handler = move |request| answer(serving.clone(), request);
+        Self { listener: Listener::start(address, gate, handler), inner }
+    }
+
+    /// Address on which it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Replaces the host list.
+    pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
+        self.inner.hosts.lock().unwrap().push((Instant::now(), hosts));
+    }
+
+    /// Changes the faults.
+    pub fn update(&self, change: impl FnOnce(&mut StoreFault)) {
+        change(&mut self.inner.fault.lock().unwrap());
+    }
 }
 
 /// A running stand-in of the store.
 pub struct StoreServer {
-    server: Server,
+    main: Door,
     shared: Arc<Shared>,
 }
 
+impl Deref for StoreServer {
+    type Target = Door;
+
+    fn deref(&self) -> &Door {
+        &self.main
+    }
+}
+
 impl StoreServer {
     /// Starts the stand-in; port 0 takes any free port.
     pub fn start(address: SocketAddr) -> Self {
-        let shared = Arc::new(Shared::default());
-        let serving = shared.clone();
-        let config = Config { workers: THREADS, ..Config::new(address) };
-        let server = serve(config, move |request| answer(&serving, &request)).unwrap();
-        Self { server, shared }
+        let state = Mutex::default();
+        let shared = Arc::new(Shared { state, changed: watch::channel(()).0 });
+        Self { main: Door::start(address, shared.clone(), 1), shared }
     }
 
-    /// Address on which it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
+    /// Opens another way in, with faults drawn from `seed`.
+    pub fn door(&self, address: SocketAddr, seed: u64) -> Door {
+        Door::start(address, self.shared.clone(), seed)
     }
 
-    /// Replaces the host list.
-    pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
-        self.shared.state.lock().unwrap().hosts = hosts;
+    /// Calls seen so far at all doors.
+    pub fn calls(&self) -> Calls {
+        self.shared.state.lock().unwrap().calls
+    }
+
+    /// Starts the counts anew.
+    pub fn reset_calls(&self) {
+        self.shared.state.lock().unwrap().calls = Calls::default();
+    }
+
+    /// Value and version of a key.
+    pub fn value(&self, key: &str) -> Option<(u64, Vec<u8>)> {
+        let state = self.shared.state.lock().unwrap();
+        state.values.get(key).map(|v| (v.version, v.bytes.clone()))
+    }
+
+    /// Keys that exist.
+    pub fn keys(&self) -> Vec<String> {
+        self.shared.state.lock().unwrap().values.keys().cloned().collect()
     }
 }
 
-fn answer(shared: &Shared, request: &Request) -> Response {
+impl Inner {
+    fn count(&self, change: impl FnOnce(&mut Calls)) {
+        change(&mut self.shared.state.lock().unwrap().calls);
+    }
+
+    fn draw(&self, share: f64) -> bool {
+        share > 0.0 && self.rng.lock().unwrap().f64() < share
+    }
+
+    /// Whether the rates admit one more call.
+    fn admits(&self, fault: &StoreFault, write: bool) -> bool {
+        let mut rates = self.rates.lock().unwrap();
+        if rates.start.elapsed() >= Duration::from_secs(1) {
+            *rates = Rates { start: Instant::now(), reads: 0, writes: 0 };
+        }
+        let (seen, limit) = match write {
+            true => (&mut rates.writes, fault.write_rate),
+            false => (&mut rates.reads, fault.read_rate),
+        };
+        *seen += 1;
+        limit.is_none_or(|limit| *seen <= limit)
+    }
+
+    fn hosts(&self, lag: Duration) -> Vec<HostEntry> {
+        let mut lists = self.hosts.lock().unwrap();
+        let seen = lists.iter().rposition(|(time, _)| time.elapsed() >= lag);
+        // Before the first list is old enough it is given all the same.
+        let seen = seen.unwrap_or(0);
+        lists.drain(..seen);
+        lists.first().map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+}
+
+async fn answer(inner: Arc<Inner>, request: Request) -> Reply {
+    let fault = inner.fault.lock().unwrap().clone();
+    inner.count(|c| c.bytes_in += request.body.len() as u64);
+    if fault.outage {
+        inner.count(|c| c.refused += 1);
+        return Reply::reset();
+    }
+    let write = request.method == Method::PUT;
+    if !inner.admits(&fault, write) {
+        inner.count(|c| c.refused += 1);
+        return Reply::new(429, Vec::new());
+    }
+    if inner.draw(fault.refused) {
+        inner.count(|c| c.refused += 1);
+        return Reply::new(503, Vec::new());
+    }
+    tokio::time::sleep(fault.latency).await;
+    let reply = route(&inner, &fault, &request).await;
+    inner.count(|c| c.bytes_out += reply.body.len() as u64);
+    if write && inner.draw(fault.lost) {
+        return Reply::reset();
+    }
+    if write && inner.draw(fault.silent) {
+        tokio::time::sleep(LOST_TIME).await;
+        return Reply::reset();
+    }
+    reply
+}
+
+async fn route(inner: &Inner, fault: &StoreFault, request: &Request) -> Reply {
     match (&request.method, request.path.strip_prefix("/kv/")) {
-        (&Method::GET, Some(key)) => read(shared, key, request),
+        (&Method::GET, Some(key)) => match number(request, "after") {
+            Some(after) => wait(inner, key, after, request).await,
+            None => read(inner, fault, key),
+        },
         (&Method::PUT, Some(key)) => {
             let expected = number(request, "version").unwrap_or(0);
-            write(shared, key, expected, request.body.clone())
+            write(inner, key, expected, request.body.clone())
         }
         (&Method::GET, None) if request.path == "/hosts" => {
-            Response::json(200, &shared.state.lock().unwrap().hosts)
+            inner.count(|c| c.hosts += 1);
+            Reply::json(200, &inner.hosts(fault.lag))
         }
         _ => reply(404, 0, Vec::new()),
     }
 }
 
-fn read(shared: &Shared, key: &str, request: &Request) -> Response {
-    let after = number(request, "after");
+fn read(inner: &Inner, fault: &StoreFault, key: &str) -> Reply {
+    inner.count(|c| c.reads += 1);
+    let stale = inner.draw(fault.stale);
+    let state = inner.shared.state.lock().unwrap();
+    let Some(value) = state.values.get(key) else {
+        return reply(404, 0, Vec::new());
+    };
+    match &value.before {
+        Some((version, bytes)) if stale => reply(200, *version, bytes.clone()),
+        _ => reply(200, value.version, value.bytes.clone()),
+    }
+}
+
+async fn wait(inner: &Inner, key: &str, after: u64, request: &Request) -> Reply {
+    inner.count(|c| c.watches += 1);
     let wait = Duration::from_millis(number(request, "wait_ms").unwrap_or(0));
-    let limit = Instant::now() + wait;
-    let mut state = shared.state.lock().unwrap();
-    loop {
-        match (state.values.get(key), after) {
-            (Some((version, bytes)), None) => return reply(200, *version, bytes.clone()),
-            (Some((version, bytes)), Some(after)) if *version > after => {
-                return reply(200, *version, bytes.clone());
+    let mut changed = inner.shared.changed.subscribe();
+    let newer = async {
+        loop {
+            changed.mark_unchanged();
+            {
+                let state = inner.shared.state.lock().unwrap();
+                if let Some(value) = state.values.get(key).filter(|v| v.version > after) {
+                    return reply(200, value.version, value.bytes.clone());
+                }
+            }
+            if changed.changed().await.is_err() {
+                return reply(304, 0, Vec::new());
             }
-            (None, None) => return reply(404, 0, Vec::new()),
-            _ => {}
-        }
-        let left = limit.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return reply(304, 0, Vec::new());
         }
-        state = shared.changed.wait_timeout(state, left).unwrap().0;
-    }
+    };
+    let newer = tokio::time::timeout(wait, newer).await;
+    newer.unwrap_or_else(|_| reply(304, 0, Vec::new()))
 }
 
-fn write(shared: &Shared, key: &str, expected: u64, bytes: Vec<u8>) -> Response {
-    let mut state = shared.state.lock().unwrap();
-    let current = state.values.get(key).map_or(0, |(version, _)| *version);
+fn write(inner: &Inner, key: &str, expected: u64, bytes: Vec<u8>) -> Reply {
+    inner.count(|c| c.writes += 1);
+    if bytes.len() > VALUE_LIMIT {
+        return reply(413, 0, Vec::new());
+    }
+    let mut state = inner.shared.state.lock().unwrap();
+    let value = state.values.get(key);
+    let current = value.map_or(0, |v| v.version);
     if current != expected {
+        state.calls.conflicts += 1;
         return reply(409, current, Vec::new());
     }
-    state.values.insert(key.to_owned(), (current + 1, bytes));
-    shared.changed.notify_all();
-    reply(200, current + 1, Vec::new())
+    let before = value.map(|v| (v.version, v.bytes.clone()));
+    let version = current + 1;
+    state.values.insert(key.to_owned(), Value { version, bytes, before });
+    drop(state);
+    inner.shared.changed.send_replace(());
+    reply(200, version, Vec::new())
 }
 
-fn reply(status: u16, version: u64, body: Vec<u8>) -> Response {
-    Response::new(status, "application/octet-stream", body).with("x-version", version.to_string())
+fn reply(status: u16, version: u64, body: Vec<u8>) -> Reply {
+    Reply::new(status, body)
+        .with("content-type", "application/octet-stream")
+        .with("x-version", version)
 }
 
 fn number(request: &Request, name: &str) -> Option<u64> {
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -1,137 +1,436 @@
-//! Stand-in for a target: slots, service times with stragglers, snapshots.
+//! Stand-in for a target: searches, bookings, cancellation and health over HTTP.
+//!
+//! All targets of a process share a few threads, so that a few hundred fit into one. Faults are
+//! set with [`TargetServer::update`] while it runs.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fastrand::Rng;
-use sapphirerack_catalogue::{Name, Span};
-use sapphirerack_http::{Config, Method, Request, Response, Server, serve};
-use serde_json::json;
-
-/// Requests that may wait at a target beyond its slots.
-const QUEUE: u32 = 8;
-
-/// What a stand-in target is like.
-#[derive(Clone, Debug)]
-pub struct Behaviour {
-    /// Unique name.
-    pub name: Name,
-    /// Partitions that it holds.
-    pub span: Span,
-    /// Requests that it runs at the same time.
-    pub slots: u32,
-    /// Mean service time.
-    pub service: Duration,
-    /// Share of requests that take ten times as long.
-    pub stragglers: f64,
-    /// Snapshots that it holds.
-    pub held: Vec<u64>,
-    /// Seed of its service times.
-    pub seed: u64,
+use sapphirerack_catalogue::Name;
+use sapphirerack_http::{Method, Request};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+pub use crate::behaviour::{
+    Behaviour, BookingFault, BookingKind, ColdStart, Defect, DefectKind, HealthFault, Overload,
+    ReplyFault, ReplyKind, Trigger,
+};
+use crate::server::{Gate, Listener, Manner, Reply, micros};
+pub use crate::slots::Counters;
+use crate::slots::{Admission, Signal, Slots};
+
+/// Time after which the connection of a lost answer closes.
+const LOST_TIME: Duration = Duration::from_secs(60);
+
+/// A booking that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Execution {
+    /// Idempotency key.
+    pub key: String,
+    /// Request id.
+    pub request: String,
+    /// Number of the booking, which its answer carries.
+    pub booking: u64,
+    /// When it took effect, since the Unix epoch.
+    pub time: Duration,
 }
 
 struct Shared {
-    behaviour: Mutex<Behaviour>,
+    behaviour: Mutex<Arc<Behaviour>>,
     rng: Mutex<Rng>,
-    running: Mutex<u32>,
-    freed: Condvar,
-    most: AtomicUsize,
-    served: AtomicUsize,
+    slots: Slots,
+    gate: Arc<Gate>,
+    fallen: AtomicBool,
+    next: AtomicU64,
+    executions: Mutex<Vec<Execution>>,
+    health: Mutex<Option<(Instant, Value)>>,
 }
 
-/// A running stand-in of a target.
+/// A running stand-in of a target; dropping it closes its connections.
 pub struct TargetServer {
-    server: Server,
+    listener: Listener,
     shared: Arc<Shared>,
 }
 
 impl TargetServer {
     /// Starts the stand-in; port 0 takes any free port.
     pub fn start(address: SocketAddr, behaviour: Behaviour) -> Self {
-        let threads = (behaviour.slots + QUEUE) as usize;
+        let gate = Gate::new(behaviour.connections as usize, behaviour.connect);
         let shared = Arc::new(Shared {
             rng: Mutex::new(Rng::with_seed(behaviour.seed)),
-            behaviour: Mutex::new(behaviour),
-            running: Mutex::new(0),
-            freed: Condvar::new(),
-            most: AtomicUsize::new(0),
-            served: AtomicUsize::new(0),
+            behaviour: Mutex::new(Arc::new(behaviour)),
+            slots: Slots::default(),
+            gate: gate.clone(),
+            fallen: AtomicBool::new(false),
+            next: AtomicU64::new(0),
+            executions: Mutex::default(),
+            health: Mutex::default(),
         });
+        shared.apply(&shared.behaviour());
+        shared.slots.set_cold(shared.behaviour().cold);
         let serving = shared.clone();
-        let config = Config { workers: threads, ..Config::new(address) };
-        let server = serve(config, move |request| answer(&serving, &request)).unwrap();
-        Self { server, shared }
+        let handler = move |request| answer(serving.clone(), request);
+        Self { listener: Listener::start(address, gate, handler), shared }
     }
 
     /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.listener.address()
+    }
+
+    /// What it is like now.
+    pub fn behaviour(&self) -> Arc<Behaviour> {
+        self.shared.behaviour()
     }
 
     /// Changes the behaviour while the target runs.
+    ///
+    /// A changed `cold` starts a new cold start, or ends the present one.
     pub fn update(&self, change: impl FnOnce(&mut Behaviour)) {
-        change(&mut self.shared.behaviour.lock().unwrap());
+        let mut current = self.shared.behaviour.lock().unwrap();
+        let mut behaviour = Behaviour::clone(&current);
+        change(&mut behaviour);
+        if behaviour.cold != current.cold {
+            self.shared.slots.set_cold(behaviour.cold);
+        }
+        self.shared.apply(&behaviour);
+        *current = Arc::new(behaviour);
     }
 
-    /// Most requests that ran or waited at the same time.
+    /// Makes the target cold without warning, even if it was cold before.
+    pub fn go_cold(&self, cold: ColdStart) {
+        self.update(|b| b.cold = Some(cold));
+        self.shared.slots.set_cold(Some(cold));
+    }
+
+    /// Whether it is in a cold start.
+    pub fn is_cold(&self) -> bool {
+        self.shared.slots.cold().is_some()
+    }
+
+    /// What it has seen.
+    pub fn counters(&self) -> Counters {
+        self.shared.slots.counters()
+    }
+
+    /// Starts the counters anew, the most running and the most connections among them.
+    pub fn reset_counters(&self) {
+        self.shared.slots.count(|c| *c = Counters::default());
+        let gate = &self.shared.gate;
+        gate.most.store(gate.open.load(Ordering::SeqCst), Ordering::SeqCst);
+        gate.refused.store(0, Ordering::SeqCst);
+        gate.accepted.store(0, Ordering::SeqCst);
+    }
+
+    /// Most requests that ran at the same time.
     pub fn most(&self) -> usize {
-        self.shared.most.load(Ordering::Relaxed)
+        self.counters().most_running as usize
     }
 
-    /// Searches that were run.
+    /// Searches and bookings that were run.
     pub fn served(&self) -> usize {
-        self.shared.served.load(Ordering::Relaxed)
+        usize::try_from(self.counters().served).unwrap()
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.shared.gate.open.load(Ordering::SeqCst)
+    }
+
+    /// Most connections that were open at the same time, refused ones included.
+    pub fn most_connections(&self) -> usize {
+        self.shared.gate.most.load(Ordering::SeqCst)
+    }
+
+    /// Connections that were accepted.
+    pub fn accepted(&self) -> usize {
+        self.shared.gate.accepted.load(Ordering::SeqCst)
+    }
+
+    /// Connections that were closed at once, as there were too many.
+    pub fn refused(&self) -> usize {
+        self.shared.gate.refused.load(Ordering::SeqCst)
+    }
+
+    /// Bookings that took effect, in order.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.shared.executions.lock().unwrap().clone()
+    }
+}
+
+impl Shared {
+    fn behaviour(&self) -> Arc<Behaviour> {
+        self.behaviour.lock().unwrap().clone()
+    }
+
+    fn apply(&self, behaviour: &Behaviour) {
+        self.gate.limit.store(behaviour.connections as usize, Ordering::SeqCst);
+        self.gate.cost.store(micros(behaviour.connect), Ordering::SeqCst);
+        self.gate.down.store(behaviour.down, Ordering::SeqCst);
+    }
+
+    /// True with the probability `share`.
+    fn draw(&self, share: f64) -> bool {
+        share > 0.0 && self.rng.lock().unwrap().f64() < share
+    }
+
+    fn service_time(&self, behaviour: &Behaviour, route: &str) -> Duration {
+        let straggle = if self.draw(behaviour.stragglers) { behaviour.straggle } else { 1.0 };
+        let cold = self.slots.cold().map_or(1.0, |c| c.slow);
+        let slow = self.defects(behaviour, route).filter_map(|kind| match kind {
+            DefectKind::Slow(times) => Some(times),
+            DefectKind::Fail => None,
+        });
+        let slow: f64 = slow.product();
+        let spread = 0.5 + self.rng.lock().unwrap().f64();
+        behaviour.service.mul_f64(straggle * cold * slow * spread)
+    }
+
+    fn defects<'a>(
+        &'a self,
+        behaviour: &'a Behaviour,
+        route: &'a str,
+    ) -> impl Iterator<Item = DefectKind> + 'a {
+        let shows = move |defect: &&Defect| {
+            let on_route = defect.route.as_ref().is_none_or(|r| **r == *route);
+            let triggered = match defect.trigger {
+                Trigger::Always => true,
+                Trigger::From(time) => Instant::now() >= time,
+                Trigger::Running(least) => self.slots.running() >= least,
+            };
+            on_route && triggered && self.draw(defect.share)
+        };
+        behaviour.defects.iter().filter(shows).map(|d| d.kind)
     }
 }
 
-fn answer(shared: &Shared, request: &Request) -> Response {
+async fn answer(shared: Arc<Shared>, request: Request) -> Reply {
+    let behaviour = shared.behaviour();
+    if behaviour.down || shared.fallen.load(Ordering::SeqCst) {
+        return Reply::reset();
+    }
     match (&request.method, request.path.as_str()) {
-        (&Method::POST, "/search") => search(shared, request),
-        (&Method::GET, "/health") => {
-            let held = shared.behaviour.lock().unwrap().held.clone();
-            Response::json(200, &json!({ "healthy": true, "load": 0.0, "held": held }))
+        (&Method::POST, "/search") => search(&shared, &behaviour, &request).await,
+        (&Method::POST, "/book") => book(&shared, &behaviour, &request).await,
+        (&Method::GET, "/health") => Reply::json(200, &health(&shared, &behaviour)),
+        (&Method::POST, path) => match path.strip_prefix("/cancel/") {
+            Some(id) => Reply::json(200, &json!({ "cancelled": shared.slots.cancel(id) })),
+            None => Reply::json(404, &json!({})),
+        },
+        _ => Reply::json(404, &json!({})),
+    }
+}
+
+fn health(shared: &Shared, behaviour: &Behaviour) -> Value {
+    let mut last = shared.health.lock().unwrap();
+    let fault = &behaviour.health;
+    if let Some((time, value)) = &*last
+        && time.elapsed() < fault.lag
+    {
+        return value.clone();
+    }
+    let load = f64::from(shared.slots.running()) / f64::from(behaviour.slots);
+    let value = json!({
+        "healthy": fault.healthy.unwrap_or(!behaviour.draining),
+        "load": fault.load.unwrap_or(load),
+        "held": fault.held.as_ref().unwrap_or(&behaviour.held),
+    });
+    *last = Some((Instant::now(), value.clone()));
+    value
+}
+
+fn refuse(status: u16, error: &str, not_run: bool) -> Reply {
+    Reply::json(status, &json!({ "error": error, "not_run": not_run }))
+}
+
+/// Runs a request in a slot; `Err` holds the answer of one that did not run to its end.
+async fn run(shared: &Arc<Shared>, behaviour: &Behaviour, request: &Request) -> Result<(), Reply> {
+    shared.slots.count(|c| {
+        c.received += 1;
+        c.last = Some(Instant::now());
+    });
+    if behaviour.draining || behaviour.shedding {
+        shared.slots.count(|c| c.shed += 1);
+        let reason = if behaviour.draining { "draining" } else { "shedding" };
+        return Err(refuse(503, reason, true));
+    }
+    let id = shared.next.fetch_add(1, Ordering::Relaxed);
+    let name = request.header("x-request-id").unwrap_or_default();
+    let signals = match shared.slots.admit(id, name, behaviour) {
+        Admission::Run(signals) => signals,
+        Admission::Wait(signals) => wait(shared, id, signals, request).await?,
+        Admission::Shed => return Err(refuse(503, "queue full", true)),
+        Admission::Overloaded => return Err(refuse(500, "cold", false)),
+        Admission::Falls(time) => return Err(fall(shared, time)),
+    };
+    if expired(request) {
+        shared.slots.release(id, behaviour.slots, Duration::ZERO);
+        shared.slots.count(|c| c.expired += 1);
+        return Err(refuse(504, "deadline passed", true));
+    }
+    let route = request.header("x-route").unwrap_or_default();
+    let time = shared.service_time(behaviour, route);
+    let fails = shared.defects(behaviour, route).any(|kind| kind == DefectKind::Fail);
+    let start = Instant::now();
+    let signal = tokio::time::timeout(time, signals).await;
+    let slots = shared.behaviour().slots;
+    shared.slots.release(id, slots, start.elapsed());
+    match signal {
+        Ok(signal) => Err(ended(shared, signal.unwrap_or(Signal::Fell), false)),
+        Err(_) if fails => {
+            shared.slots.count(|c| c.failed += 1);
+            Err(refuse(500, "internal error", false))
+        }
+        Err(_) => {
+            shared.slots.ran();
+            Ok(())
         }
-        (&Method::POST, path) if path.starts_with("/cancel/") => Response::json(200, &json!({})),
-        _ => Response::json(404, &json!({})),
     }
 }
 
-fn search(shared: &Shared, request: &Request) -> Response {
-    let query = String::from_utf8_lossy(&request.body);
-    let behaviour = shared.behaviour.lock().unwrap().clone();
-    let id = request.header("x-request-id").unwrap_or_default();
+async fn wait(
+    shared: &Shared,
+    id: u64,
+    signals: oneshot::Receiver<Signal>,
+    request: &Request,
+) -> Result<oneshot::Receiver<Signal>, Reply> {
+    let left = deadline(request).map(|d| d.saturating_sub(unix()));
+    match tokio::time::timeout(left.unwrap_or(LOST_TIME), signals).await {
+        Ok(Ok(Signal::Run)) => Ok(shared.slots.rearm(id)),
+        Ok(signal) => Err(ended(shared, signal.unwrap_or(Signal::Fell), true)),
+        Err(_) => {
+            shared.slots.release(id, shared.behaviour().slots, Duration::ZERO);
+            shared.slots.count(|c| c.expired += 1);
+            Err(refuse(504, "deadline passed", true))
+        }
+    }
+}
+
+fn ended(shared: &Shared, signal: Signal, not_run: bool) -> Reply {
+    if signal == Signal::Cancelled {
+        shared.slots.count(|c| c.cancelled += 1);
+        return refuse(499, "cancelled", not_run);
+    }
+    shared.slots.count(|c| c.failed += 1);
+    Reply::reset()
+}
+
+/// The target goes down and comes back cold.
+fn fall(shared: &Arc<Shared>, time: Duration) -> Reply {
+    shared.fallen.store(true, Ordering::SeqCst);
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(time).await;
+        shared.fallen.store(false, Ordering::SeqCst);
+    });
+    Reply::reset()
+}
+
+fn deadline(request: &Request) -> Option<Duration> {
+    request.header("x-deadline-us")?.parse().ok().map(Duration::from_micros)
+}
+
+fn expired(request: &Request) -> bool {
+    deadline(request).is_some_and(|d| d <= unix())
+}
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap()
+}
+
+async fn search(shared: &Arc<Shared>, behaviour: &Behaviour, request: &Request) -> Reply {
     let snapshot = request.header("x-snapshot").and_then(|v| v.parse().ok()).unwrap_or(0);
     if !behaviour.held.contains(&snapshot) {
-        return Response::json(409, &json!({ "held": behaviour.held }));
+        shared.slots.count(|c| {
+            c.received += 1;
+            c.conflicts += 1;
+        });
+        return Reply::json(409, &json!({ "held": behaviour.held }));
+    }
+    if let Err(reply) = run(shared, behaviour, request).await {
+        return reply;
+    }
+    let fault = behaviour.replies.iter().find(|f| shared.draw(f.share)).map(|f| f.kind);
+    found(&behaviour.name, behaviour, request, snapshot, fault).await
+}
+
+/// The answer to a search, with its fault if it has one.
+async fn found(
+    name: &Name,
+    behaviour: &Behaviour,
+    request: &Request,
+    snapshot: u64,
+    fault: Option<ReplyKind>,
+) -> Reply {
+    let query = String::from_utf8_lossy(&request.body);
+    let mut id = request.header("x-request-id").unwrap_or_default().to_owned();
+    let mut read = snapshot;
+    let mut span = behaviour.span_in(snapshot);
+    let mut manner = Manner::Whole;
+    let mut padding = String::new();
+    match fault {
+        Some(ReplyKind::Garbage) => return Reply::new(200, b"\x00\xffnot json".to_vec()),
+        Some(ReplyKind::Reset) => return Reply::reset(),
+        Some(ReplyKind::Cut) => manner = Manner::Cut,
+        Some(ReplyKind::Hang) => manner = Manner::Hang,
+        Some(ReplyKind::Snapshot) => read += 1,
+        Some(ReplyKind::Span) => span.end = span.start + span.len().div_ceil(2),
+        Some(ReplyKind::Request) => id.push('x'),
+        Some(ReplyKind::Huge(len)) => padding = "x".repeat(len),
+        Some(ReplyKind::Late(time)) => tokio::time::sleep(time).await,
+        None => {}
+    }
+    let mut results = json!([{ "name": name, "query": query, "snapshot": read, "span": span }]);
+    if !padding.is_empty() {
+        results[0]["padding"] = padding.into();
     }
-    run(shared, &behaviour);
-    let results = json!([{ "name": behaviour.name, "query": query, "snapshot": snapshot }]);
-    let answer = json!({
-        "request": id, "snapshot": snapshot, "span": behaviour.span,
-        "held": behaviour.held, "results": results,
+    let body = json!({
+        "request": id, "snapshot": read, "span": span, "held": behaviour.held, "results": results,
     });
-    Response::json(200, &answer)
+    Reply { manner, ..Reply::json(200, &body) }
+}
+
+async fn book(shared: &Arc<Shared>, behaviour: &Behaviour, request: &Request) -> Reply {
+    let fault = behaviour.bookings.iter().find(|f| shared.draw(f.share)).map(|f| f.kind);
+    match fault {
+        Some(BookingKind::ResetBefore) => return Reply::reset(),
+        Some(BookingKind::Delay(time)) => tokio::time::sleep(time).await,
+        _ => {}
+    }
+    if let Err(reply) = run(shared, behaviour, request).await {
+        return reply;
+    }
+    let execution = execute(shared, request);
+    match fault {
+        Some(BookingKind::Lost) => {
+            tokio::time::sleep(LOST_TIME).await;
+            Reply::reset()
+        }
+        Some(BookingKind::ResetAfter) => Reply::reset(),
+        Some(BookingKind::FailAfter) => refuse(500, "internal error", false),
+        _ => {
+            let body = json!({
+                "request": execution.request, "key": execution.key, "booking": execution.booking,
+                "name": behaviour.name, "body": String::from_utf8_lossy(&request.body),
+            });
+            Reply::json(200, &body)
+        }
+    }
 }
 
-/// Holds a slot for the service time.
-fn run(shared: &Shared, behaviour: &Behaviour) {
-    let time = {
-        let mut rng = shared.rng.lock().unwrap();
-        let factor = if rng.f64() < behaviour.stragglers { 10.0 } else { 1.0 };
-        behaviour.service.mul_f64(factor * (0.5 + rng.f64()))
+/// Lets a booking take effect; there is no deduplication by key.
+fn execute(shared: &Shared, request: &Request) -> Execution {
+    let header = |name| request.header(name).unwrap_or_default().to_owned();
+    let mut executions = shared.executions.lock().unwrap();
+    let execution = Execution {
+        key: header("x-idempotency-key"),
+        request: header("x-request-id"),
+        booking: executions.len() as u64 + 1,
+        time: unix(),
     };
-    let mut running = shared.running.lock().unwrap();
-    while *running >= behaviour.slots {
-        running = shared.freed.wait(running).unwrap();
-    }
-    *running += 1;
-    shared.most.fetch_max(*running as usize, Ordering::Relaxed);
-    drop(running);
-    thread::sleep(time);
-    *shared.running.lock().unwrap() -= 1;
-    shared.freed.notify_one();
-    shared.served.fetch_add(1, Ordering::Relaxed);
+    executions.push(execution.clone());
+    execution
 }
--- /dev/null
+++ b/crates/lab/tests/store.rs
@@ -0,0 +1,127 @@
+//! The stand-in of the store keeps its promises, and breaks them as set.
+
+use std::thread;
+use std::time::Duration;
+
+use sapphirerack_lab::fleet::LOOPBACK;
+use sapphirerack_lab::store::StoreServer;
+use sapphirerack_platform::{Category, HostEntry, HostState, Store};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn store() -> (StoreServer, Store) {
+    let server = StoreServer::start(LOOPBACK);
+    let client = Store::new(server.address(), TIMEOUT);
+    (server, client)
+}
+
+fn host(name: &str) -> HostEntry {
+    HostEntry {
+        name: name.into(),
+        data_centre: "leith".into(),
+        address: LOOPBACK,
+        state: HostState::Live,
+    }
+}
+
+#[test]
+fn writes_are_compare_and_swap() {
+    let (server, client) = store();
+
+    assert_eq!(client.swap("a", 0, b"one").unwrap(), 1);
+    assert_eq!(client.swap("a", 0, b"two").unwrap_err().classify(), Category::Conflict);
+    assert_eq!(client.swap("a", 1, b"two").unwrap(), 2);
+
+    assert_eq!(client.get("a").unwrap().unwrap().bytes, b"two");
+    let calls = server.calls();
+    assert_eq!((calls.writes, calls.conflicts, calls.reads), (3, 1, 1));
+}
+
+#[test]
+fn watch_waits_for_the_next_version() {
+    let (server, client) = store();
+    client.swap("a", 0, b"one").unwrap();
+
+    thread::scope(|scope| {
+        let watch = scope.spawn(|| client.watch("a", 1, TIMEOUT).unwrap().unwrap());
+        while server.calls().watches == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        client.swap("a", 1, b"two").unwrap();
+        assert_eq!(watch.join().unwrap().version, 2);
+    });
+    assert_eq!(client.watch("a", 2, Duration::from_millis(20)).unwrap(), None);
+}
+
+#[test]
+fn lost_answer_leaves_its_effect() {
+    let (server, client) = store();
+    server.update(|f| f.lost = 1.0);
+
+    let lost = client.swap("a", 0, b"one").unwrap_err();
+
+    assert_eq!(lost.classify(), Category::Unreachable);
+    assert_eq!(server.value("a").unwrap().1, b"one");
+}
+
+#[test]
+fn outage_and_refusal_leave_no_effect() {
+    let (server, client) = store();
+
+    server.update(|f| f.outage = true);
+    assert_eq!(client.swap("a", 0, b"one").unwrap_err().classify(), Category::Unreachable);
+    server.update(|f| (f.outage, f.refused) = (false, 1.0));
+    assert_eq!(client.swap("a", 0, b"one").unwrap_err().status(), Some(503));
+
+    assert_eq!(server.value("a"), None);
+}
+
+#[test]
+fn stale_read_gives_the_value_before() {
+    let (server, client) = store();
+    client.swap("a", 0, b"one").unwrap();
+    client.swap("a", 1, b"two").unwrap();
+
+    server.update(|f| f.stale = 1.0);
+
+    assert_eq!(client.get("a").unwrap().unwrap().bytes, b"one");
+}
+
+#[test]
+fn calls_beyond_the_rate_are_refused() {
+    let (server, client) = store();
+    server.update(|f| f.write_rate = Some(0));
+
+    assert_eq!(client.swap("a", 0, b"one").unwrap_err().status(), Some(429));
+    assert_eq!(client.get("a").unwrap(), None, "reads have a rate of their own");
+}
+
+#[test]
+fn doors_have_faults_and_host_lists_of_their_own() {
+    let (server, client) = store();
+    let door = server.door(LOOPBACK, 1);
+    let other = Store::new(door.address(), TIMEOUT);
+    server.set_hosts(vec![host("a")]);
+    door.set_hosts(vec![host("b")]);
+    client.swap("k", 0, b"one").unwrap();
+
+    door.update(|f| f.outage = true);
+    assert!(other.get("k").is_err());
+    door.update(|f| f.outage = false);
+
+    assert_eq!(other.get("k").unwrap().unwrap().version, 1, "they share the keys");
+    assert_eq!(other.hosts().unwrap(), [host("b")]);
+    assert_eq!(client.hosts().unwrap(), [host("a")]);
+}
+
+#[test]
+fn host_list_lags() {
+    let (server, client) = store();
+    server.update(|f| f.lag = Duration::from_secs(3600));
+    server.set_hosts(vec![host("a")]);
+    server.set_hosts(vec![host("a"), host("b")]);
+
+    assert_eq!(client.hosts().unwrap().len(), 1);
+    server.update(|f| f.lag = Duration::ZERO);
+    assert_eq!(client.hosts().unwrap().len(), 2);
+}
