Exchange datagrams between hosts, with topics

Cause: configuration, membership and verdicts on versions have to spread between hosts while the store is down; hosts only had TCP links and the platform's lagging list. Ruled out: a connection to every host (1,040 a data centre); one part a socket and thread (budget of 25 KB/s is shared). Changes::apply takes Fn, so that an edit can be tried again on a newer catalogue. Conclusion: seam for the moves' verdicts and evidence.

--- a/crates/host/src/changes.rs
+++ b/crates/host/src/changes.rs
@@ -42,7 +42,7 @@
     pub(crate) fn apply(
         &self,
         id: Name,
-        edit: impl FnOnce(&Catalogue) -> Result<Catalogue, Rejection>,
+        edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
     ) -> Result<u64, Rejection> {
         let current =
             self.store.get(HEAD_KEY).map_err(|e| Rejection::Unavailable(e.to_string()))?;
--- /dev/null
+++ b/crates/host/src/gossip.rs
@@ -0,0 +1,258 @@
+//! Datagrams between hosts and the topics they carry.
+//!
+//! Each interval the host pings a peer; ping and ack carry the configuration's version and the
+//! news of the attached topics, as far as they fit. Topics take turns. Urgent news leave at once
+//! to a few peers, which pass them on, so that they reach a large data centre in a few hops; the
+//! exchange at intervals repairs what was lost. What the host sends a second is bounded.
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sapphirerack_protocol::{Datagram, Liveness, Peer, Purpose, Topic};
+
+use crate::config::Config;
+use crate::peers::Peers;
+use crate::settings::GossipSettings;
+use crate::{Error, Result};
+
+/// Largest news of one topic in a datagram, in bytes.
+pub(crate) const TOPIC_LIMIT: usize = 512;
+
+/// Bytes that a topic takes beside its news and its name.
+const TOPIC_OVERHEAD: usize = 4;
+
+/// Shortest time between two urgent rounds.
+const URGENT_PAUSE: Duration = Duration::from_millis(20);
+
+const RECEIVE_BUFFER: usize = 2_048;
+
+/// News of a topic; at most [`TOPIC_LIMIT`] bytes, none if there is nothing to say.
+type Produce = Box<dyn Fn() -> Vec<u8> + Send + Sync>;
+
+/// Takes news that a peer produced; runs on the gossip thread and must not block.
+type Consume = Box<dyn Fn(&[u8]) + Send + Sync>;
+
+struct Attached {
+    name: &'static str,
+    produce: Produce,
+    consume: Consume,
+}
+
+/// Exchange of datagrams with other hosts.
+pub(crate) struct Gossip {
+    socket: UdpSocket,
+    peers: Arc<Peers>,
+    config: Arc<Config>,
+    settings: GossipSettings,
+    topics: RwLock<Vec<Attached>>,
+    turn: AtomicU64,
+    urgent: AtomicBool,
+}
+
+impl Gossip {
+    /// Binds the port of the host's own address.
+    pub(crate) fn bind(
+        peers: Arc<Peers>,
+        config: Arc<Config>,
+        settings: GossipSettings,
+    ) -> Result<Arc<Self>> {
+        let address = peers.own().address;
+        let socket = UdpSocket::bind(address)
+            .map_err(|e| Error::io("listen for datagrams", address.to_string(), e))?;
+        Ok(Arc::new(Self {
+            socket,
+            peers,
+            config,
+            settings,
+            topics: RwLock::default(),
+            turn: AtomicU64::new(0),
+            urgent: AtomicBool::new(false),
+        }))
+    }
+
+    #[allow(dead_code, reason = "attached by the moves")]
+    /// Spreads the news that `produce` gives; peers' news go to `consume`.
+    pub(crate) fn attach(
+        &self,
+        name: &'static str,
+        produce: impl Fn() -> Vec<u8> + Send + Sync + 'static,
+        consume: impl Fn(&[u8]) + Send + Sync + 'static,
+    ) {
+        let attached = Attached { name, produce: Box::new(produce), consume: Box::new(consume) };
+        self.topics.write().unwrap_or_else(PoisonError::into_inner).push(attached);
+    }
+
+    #[allow(dead_code, reason = "called by the moves")]
+    /// Sends news to a few peers at once; may be called from `consume` to pass news on.
+    pub(crate) fn notify(&self) {
+        if !self.urgent.swap(true, Ordering::AcqRel) {
+            // An empty datagram wakes the gossip thread.
+            let _ = self.socket.send_to(&[], self.peers.own().address);
+        }
+    }
+
+    /// Runs the exchange on a thread of its own.
+    pub(crate) fn spawn(self: &Arc<Self>) -> Result<()> {
+        let gossip = self.clone();
+        let run = move || gossip.run();
+        let builder = thread::Builder::new().name("gossip".into());
+        builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "gossip", e))
+    }
+
+    fn run(&self) {
+        let mut buffer = [0; RECEIVE_BUFFER];
+        let mut next = Instant::now();
+        let mut urgent = next;
+        let mut budget = Budget::new(self.settings.bytes);
+        loop {
+            let now = Instant::now();
+            if now >= next {
+                next = now + self.settings.interval;
+                self.round(1, &mut budget);
+            }
+            if now >= urgent && self.urgent.swap(false, Ordering::AcqRel) {
+                urgent = now + URGENT_PAUSE;
+                self.round(self.settings.fanout, &mut budget);
+            }
+            let limit = if self.urgent.load(Ordering::Acquire) { next.min(urgent) } else { next };
+            let wait = limit.saturating_duration_since(Instant::now());
+            if let Err(e) = self.receive(&mut buffer, wait, &mut budget) {
+                log::warn!("step=receive error={e}");
+            }
+        }
+    }
+
+    fn round(&self, count: usize, budget: &mut Budget) {
+        let own = self.peers.own();
+        let live = self.peers.live();
+        let mut others: Vec<SocketAddr> =
+            live.iter().filter(|h| h.name != own.name).map(|h| h.address).collect();
+        fastrand::shuffle(&mut others);
+        for peer in others.into_iter().take(count) {
+            self.send(peer, Purpose::Ping(fastrand::u64(..)), budget);
+        }
+    }
+
+    fn receive(&self, buffer: &mut [u8], wait: Duration, budget: &mut Budget) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(wait.max(Duration::from_millis(1))))?;
+        let (len, peer) = match self.socket.recv_from(buffer) {
+            Err(e) if is_idle(&e) => return Ok(()),
+            result => result?,
+        };
+        if len == 0 {
+            return Ok(());
+        }
+        let datagram = match Datagram::decode(&buffer[..len]) {
+            Ok(datagram) => datagram,
+            Err(e) => {
+                log::debug!("step=decode peer={peer} error={e}");
+                return Ok(());
+            }
+        };
+        self.consume(&datagram);
+        if let Purpose::Ping(seq) = datagram.purpose {
+            self.send(peer, Purpose::Ack(seq), budget);
+        }
+        Ok(())
+    }
+
+    fn consume(&self, datagram: &Datagram) {
+        let topics = self.topics.read().unwrap_or_else(PoisonError::into_inner);
+        for topic in &datagram.topics {
+            if let Some(attached) = topics.iter().find(|t| *t.name == *topic.name) {
+                (attached.consume)(&topic.bytes);
+            }
+        }
+    }
+
+    fn send(&self, peer: SocketAddr, purpose: Purpose, budget: &mut Budget) {
+        let own = self.peers.own();
+        let from = Peer {
+            name: own.name.clone(),
+            data_centre: own.data_centre.clone(),
+            address: own.address,
+            incarnation: 1,
+            liveness: Liveness::Alive,
+            age: 0,
+        };
+        let mut datagram = Datagram {
+            from,
+            purpose,
+            version: self.config.view().version,
+            peers: Vec::new(),
+            summaries: Vec::new(),
+            topics: Vec::new(),
+        };
+        if budget.is_left() {
+            self.add_topics(&mut datagram);
+        }
+        match datagram.encode() {
+            Ok(bytes) => {
+                budget.spend(bytes.len());
+                if let Err(e) = self.socket.send_to(&bytes, peer) {
+                    log::debug!("step=send peer={peer} error={e}");
+                }
+            }
+            Err(e) => log::warn!("step=encode peer={peer} error={e}"),
+        }
+    }
+
+    /// Adds the topics' news as far as they fit, a different topic first each time.
+    fn add_topics(&self, datagram: &mut Datagram) {
+        let topics = self.topics.read().unwrap_or_else(PoisonError::into_inner);
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed) as usize;
+        let mut room = datagram.room();
+        for i in 0..topics.len() {
+            let topic = &topics[(turn + i) % topics.len()];
+            let bytes = (topic.produce)();
+            let len = bytes.len() + topic.name.len() + TOPIC_OVERHEAD;
+            if bytes.len() > TOPIC_LIMIT {
+                log::warn!("step=produce topic={} bytes={}", topic.name, bytes.len());
+            } else if !bytes.is_empty() && len <= room {
+                room -= len;
+                datagram.topics.push(Topic { name: topic.name.into(), bytes });
+            }
+        }
+    }
+}
+
+fn is_idle(error: &io::Error) -> bool {
+    // A refused datagram sent earlier is reported on the socket; heartbeats find out anyway.
+    matches!(
+        error.kind(),
+        ErrorKind::WouldBlock
+            | ErrorKind::TimedOut
+            | ErrorKind::Interrupted
+            | ErrorKind::ConnectionRefused
+    )
+}
+
+/// Bytes that may still be sent: a token bucket that holds one second.
+struct Budget {
+    rate: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl Budget {
+    fn new(rate: u32) -> Self {
+        let rate = f64::from(rate);
+        Self { rate, left: rate, at: Instant::now() }
+    }
+
+    fn is_left(&mut self) -> bool {
+        let now = Instant::now();
+        let passed = now.duration_since(self.at).as_secs_f64();
+        self.at = now;
+        self.left = (self.left + passed * self.rate).min(self.rate);
+        self.left > 0.0
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        self.left -= bytes as f64;
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -22,6 +22,7 @@
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
+//! - `gossip`: datagrams between hosts and the topics they carry
 //! - `operators`: operators' HTTP
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
@@ -32,6 +33,7 @@
 mod entry;
 mod error;
 mod gather;
+mod gossip;
 mod inbox;
 mod links;
 mod metrics;
@@ -44,4 +46,4 @@
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
-pub use crate::settings::{Listen, Settings, StoreSettings, from_text};
+pub use crate::settings::{GossipSettings, Listen, Settings, StoreSettings, from_text};
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -113,7 +113,7 @@
     }
 
     fn change(&self, id: Name, catalogue: Catalogue) -> Response {
-        match self.changes.apply(id, |_| Ok(catalogue)) {
+        match self.changes.apply(id, |_| Ok(catalogue.clone())) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::changes::Changes;
 use crate::entry::Entry;
 use crate::gather::Gather;
+use crate::gossip::Gossip;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -64,6 +65,9 @@
     config::follow(config.clone(), store.clone())?;
     peers::follow(peers.clone(), store.clone())?;
 
+    let gossip = Gossip::bind(peers.clone(), config.clone(), settings.gossip.clone())?;
+    gossip.spawn()?;
+
     let changes = Arc::new(Changes::new(store, config.clone()));
     let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
     let operators = operators.serve(settings.listen.operators)?;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -8,6 +8,9 @@
 
 use crate::{Error, Result};
 
+/// Shortest interval between two rounds of datagrams.
+const GOSSIP_FLOOR: Duration = Duration::from_millis(10);
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +26,9 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// Datagrams between hosts.
+    #[serde(default)]
+    pub gossip: GossipSettings,
     /// Log level: off, error, warn, info, debug or trace.
     #[serde(default = "default_log")]
     pub log: Name,
@@ -69,6 +75,28 @@
     }
 }
 
+/// Datagrams between hosts; they use the port of `listen.hosts`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GossipSettings {
+    /// Time between two rounds.
+    #[serde(with = "humantime_serde")]
+    pub interval: Duration,
+    /// Hosts of the own data centre that are sent urgent news at once.
+    pub fanout: usize,
+    /// Bytes a second that the host sends at most, heartbeats excepted.
+    pub bytes: u32,
+    /// Hosts to ask when the platform's host list can't be read.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for GossipSettings {
+    fn default() -> Self {
+        let interval = Duration::from_millis(200);
+        Self { interval, fanout: 3, bytes: 8_000, seeds: Vec::new() }
+    }
+}
+
 fn default_log() -> Name {
     "info".into()
 }
@@ -100,6 +128,13 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    let gossip = &settings.gossip;
+    if gossip.interval < GOSSIP_FLOOR {
+        return Err(Error::rule("gossip.interval: expected 10ms or more".into()));
+    }
+    if gossip.fanout == 0 || gossip.bytes == 0 {
+        return Err(Error::rule("gossip: fanout or bytes is 0, expected 1 or more".into()));
+    }
     if settings.log.parse::<log::LevelFilter>().is_err() {
         let found = &settings.log;
         return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
