Let fleets be planned, cut, frozen, restarted and grown

Cause: the fleet had one shape, one service and no way to hurt a host or a link. Ruled out: relays told apart by the address of the sender, as loopback gives all the same one; so each data centre gets its own host list at a door of its own, which names the others' relays. Change: Plan (catalogue, hosts, behaviour, settings), the two deployments, HostProcess with freeze, thaw, restart, terminate, processor time and memory, relays and doors by data centre. Relays hold only as long as hosts learn each other's addresses from the host list alone.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,117 +1,70 @@
 //! Entry hosts as processes, with stand-ins around them.
 
-use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::process::{Command, Stdio};
 
-use sapphirerack_catalogue::{
-    Catalogue, DataCentre, Limits, Member, Name, Presence, SPACE, Service, Shard, Span, Target,
-    TargetState,
-};
-use sapphirerack_platform::{HostEntry, HostState};
+use sapphirerack_catalogue::{Catalogue, Name};
+use sapphirerack_platform::HostEntry;
+use serde_json::Value;
 
+use crate::network::Network;
+pub use crate::plan::{Plan, Shape};
+pub use crate::process::HostProcess;
+use crate::process::scratch;
+use crate::relay::RelayFault;
 use crate::store::StoreServer;
-use crate::target::{Behaviour, TargetServer};
-
-/// Time within which hosts must become ready.
-const READY_LIMIT: Duration = Duration::from_secs(20);
-const READY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Ports for hosts. The system takes ports for outgoing connections from 32768 on.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
+use crate::target::TargetServer;
 
 /// Loopback address with any free port.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Shape of a small setup: one service with a replica of each shard in each data centre.
-#[derive(Clone, Debug)]
-pub struct Shape {
-    /// Names of the data centres.
-    pub data_centres: Vec<Name>,
-    /// Entry hosts in each data centre.
-    pub hosts: usize,
-    /// Shards of the service.
-    pub shards: u32,
-    /// Slots of each target.
-    pub slots: u32,
-    /// Mean service time.
-    pub service: Duration,
-    /// Share of requests that take ten times as long.
-    pub stragglers: f64,
-    /// Seed of the service times.
-    pub seed: u64,
-}
-
-/// A host process with its addresses.
-pub struct HostProcess {
-    /// Unique name.
-    pub name: Name,
-    /// Data centre in which it stands.
-    pub data_centre: Name,
-    /// Callers' HTTP.
-    pub callers: SocketAddr,
-    /// Operators' HTTP.
-    pub operators: SocketAddr,
-    /// Links from other hosts.
-    pub hosts: SocketAddr,
-    settings: PathBuf,
-    child: Child,
-}
-
-impl HostProcess {
-    /// Kills the process.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-}
-
-impl Drop for HostProcess {
-    fn drop(&mut self) {
-        self.kill();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
 /// Stand-ins and host processes of one setup.
 pub struct Fleet {
     /// The entry hosts; first, so that they end before what they talk to.
     pub hosts: Vec<HostProcess>,
     /// The store's stand-in.
     pub store: StoreServer,
-    /// The targets' stand-ins.
+    /// The targets' stand-ins, in the catalogue's order.
     pub targets: Vec<TargetServer>,
     /// The catalogue that names them.
     pub catalogue: Catalogue,
+    network: Option<Network>,
+    program: PathBuf,
+    settings: Value,
 }
 
 impl Fleet {
     /// Starts stand-ins and hosts; `program` is the shipped binary.
     pub fn start(program: &Path, shape: &Shape) -> Self {
+        Self::launch(program, Plan::from(shape))
+    }
+
+    /// Starts stand-ins and hosts; `program` is the shipped binary.
+    pub fn launch(program: &Path, plan: Plan) -> Self {
         let store = StoreServer::start(LOOPBACK);
-        let (catalogue, targets) = targets(shape);
-        let mut hosts = Vec::new();
-        for data_centre in &shape.data_centres {
-            for i in 0..shape.hosts {
-                let name = format!("{data_centre}-{i}");
-                hosts.push(start_host(program, &name, data_centre, store.address()));
-            }
+        let (catalogue, targets) = start_targets(&plan);
+        let centres = catalogue.data_centres.iter().map(|d| d.name.clone());
+        let network = plan.network.then(|| Network::new(&store, centres));
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            store,
+            targets,
+            catalogue,
+            network,
+            program: program.to_owned(),
+            settings: plan.settings,
+        };
+        for data_centre in &plan.hosts {
+            fleet.start_host(data_centre);
         }
-        store.set_hosts(hosts.iter().map(entry).collect());
-        Self { store, targets, catalogue, hosts }
+        fleet.list_hosts();
+        fleet
     }
 
     /// Puts the catalogue into force through the operators' command line.
     pub fn apply(&self, program: &Path) {
-        await_answer(&self.hosts[0], "healthz");
+        self.hosts[0].await_answer("healthz");
         let text = serde_json::to_string(&self.catalogue).unwrap();
         let file = scratch("catalogue.json", &text);
         let status = Command::new(program)
@@ -127,116 +80,82 @@
     /// Waits until every host says that it is ready.
     pub fn await_ready(&self) {
         for host in &self.hosts {
-            await_answer(host, "readyz");
+            host.await_answer("readyz");
         }
     }
-}
 
-/// Waits until a host answers 200 at `path` on the operators' front.
-fn await_answer(host: &HostProcess, path: &str) {
-    let limit = Instant::now() + READY_LIMIT;
-    let url = format!("http://{}/{path}", host.operators);
-    let get = || minreq::get(&url).with_timeout(1).send();
-    while !get().is_ok_and(|r| r.status_code == 200) {
-        assert!(Instant::now() < limit, "{} does not answer {path}", host.name);
-        thread::sleep(READY_PAUSE);
+    /// Adds a host to a data centre and to the host list; returns its index.
+    pub fn add_host(&mut self, data_centre: &Name) -> usize {
+        self.start_host(data_centre);
+        self.list_hosts();
+        self.hosts.len() - 1
     }
-}
 
-fn entry(host: &HostProcess) -> HostEntry {
-    HostEntry {
-        name: host.name.clone(),
-        data_centre: host.data_centre.clone(),
-        address: host.hosts,
-        state: HostState::Live,
+    /// Puts the hosts as they are into the platform's host list.
+    pub fn list_hosts(&mut self) {
+        let hosts = self.entries();
+        if let Some(network) = &mut self.network {
+            network.set_hosts(&hosts);
+        }
+        self.store.set_hosts(hosts);
     }
-}
 
-fn targets(shape: &Shape) -> (Catalogue, Vec<TargetServer>) {
-    let mut servers = Vec::new();
-    let mut shards = Vec::new();
-    for i in 0..shape.shards {
-        let bound =
-            |i: u32| u32::try_from(u64::from(SPACE) * u64::from(i) / u64::from(shape.shards));
-        let span = Span::new(bound(i).unwrap(), bound(i + 1).unwrap());
-        let mut replicas = Vec::new();
-        for data_centre in &shape.data_centres {
-            let name: Name = format!("search-{i}-{data_centre}").into();
-            let behaviour = Behaviour {
-                name: name.clone(),
-                span,
-                slots: shape.slots,
-                service: shape.service,
-                stragglers: shape.stragglers,
-                held: vec![1],
-                seed: shape.seed.wrapping_add(servers.len() as u64),
-                ..Behaviour::default()
-            };
-            let server = TargetServer::start(LOOPBACK, behaviour);
-            replicas.push(Target {
-                name,
-                address: server.address(),
-                data_centre: data_centre.clone(),
-                version: "v1".into(),
-                slots: shape.slots,
-                connections: 25,
-                cold: 1,
-                state: TargetState::Active,
-            });
-            servers.push(server);
-        }
-        shards.push(Shard { name: i.to_string().into(), span, targets: replicas });
+    /// Stand-in of the target of this name.
+    pub fn target(&self, name: &str) -> &TargetServer {
+        self.targets.iter().find(|t| &*t.behaviour().name == name).unwrap()
     }
-    let service = Service {
-        name: "search".into(),
-        owner: "zeugenwerk".into(),
-        class: "search".into(),
-        limits: Limits { concurrency: 64, deadline: Duration::from_secs(1) },
-        shards,
-    };
-    let centre = |name: &Name| DataCentre { name: name.clone(), presence: Presence::In };
-    let catalogue = Catalogue {
-        members: vec![Member { name: "zeugenwerk".into(), key: "0".into() }],
-        data_centres: shape.data_centres.iter().map(centre).collect(),
-        services: vec![service],
-    };
-    (catalogue, servers)
-}
 
-fn start_host(program: &Path, name: &str, data_centre: &Name, store: SocketAddr) -> HostProcess {
-    let [callers, operators, hosts] = free_ports();
-    let text = serde_json::json!({
-        "name": name, "data_centre": data_centre,
-        "listen": { "callers": callers, "operators": operators, "hosts": hosts },
-        "store": { "address": store },
-        "log": "warn",
-    });
-    let settings = scratch(&format!("{name}.json"), &text.to_string());
-    let child = Command::new(program).arg("serve").arg(&settings).spawn().unwrap();
-    HostProcess {
-        name: name.into(),
-        data_centre: data_centre.clone(),
-        callers,
-        operators,
-        hosts,
-        settings,
-        child,
+    /// Stand-ins of the targets in a data centre.
+    pub fn targets_in(&self, data_centre: &str) -> Vec<&TargetServer> {
+        let shards = self.catalogue.services.iter().flat_map(|s| &s.shards);
+        let targets = shards.flat_map(|s| &s.targets).zip(&self.targets);
+        targets.filter(|(t, _)| &*t.data_centre == data_centre).map(|(_, s)| s).collect()
     }
-}
 
-/// Three ports that were free a moment ago, below those that the system hands to clients.
-fn free_ports() -> [SocketAddr; 3] {
-    [(); 3].map(|()| {
-        let mut any =
-            std::iter::repeat_with(|| SocketAddr::new(LOOPBACK.ip(), fastrand::u16(PORTS)));
-        any.find(|address| TcpListener::bind(address).is_ok()).unwrap()
-    })
+    /// Changes what happens to traffic between the hosts of two data centres, both ways.
+    ///
+    /// The plan must have a network.
+    pub fn between(&self, one: &str, other: &str, fault: RelayFault) {
+        let network = self.network.as_ref().expect("a plan with a network");
+        network.set(&self.entries(), one, other, fault);
+    }
+
+    /// Cuts a data centre off from the store, or lets it reach the store again.
+    ///
+    /// The plan must have a network.
+    pub fn cut_from_store(&self, data_centre: &str, cut: bool) {
+        let network = self.network.as_ref().expect("a plan with a network");
+        network.door(data_centre).unwrap().update(|f| f.outage = cut);
+    }
+
+    fn entries(&self) -> Vec<HostEntry> {
+        self.hosts.iter().map(HostProcess::entry).collect()
+    }
+
+    fn start_host(&mut self, data_centre: &Name) {
+        let before = self.hosts.iter().filter(|h| h.data_centre == *data_centre).count();
+        let name = format!("{data_centre}-{before}");
+        let door = self.network.as_ref().and_then(|n| n.door(data_centre));
+        let store = door.map_or(self.store.address(), |d| d.address());
+        let host = HostProcess::start(&self.program, &name, data_centre, store, &self.settings);
+        self.hosts.push(host);
+    }
 }
 
-/// Writes a file for a process of this run.
-fn scratch(name: &str, text: &str) -> PathBuf {
-    let unique = format!("sapphirerack-{}-{:08x}-{name}", std::process::id(), fastrand::u32(..));
-    let path = std::env::temp_dir().join(unique);
-    std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
-    path
+/// Starts the targets; the catalogue names their addresses.
+fn start_targets(plan: &Plan) -> (Catalogue, Vec<TargetServer>) {
+    let mut catalogue = plan.catalogue.clone();
+    let mut servers = Vec::new();
+    for (before, service) in plan.catalogue.services.iter().zip(&mut catalogue.services) {
+        for (old, shard) in before.shards.iter().zip(&mut service.shards) {
+            for target in &mut shard.targets {
+                let plain = crate::plan::plain(old, target, servers.len());
+                let behaviour = (plan.behave)(before, target, plain);
+                let server = TargetServer::start(LOOPBACK, behaviour);
+                target.address = server.address();
+                servers.push(server);
+            }
+        }
+    }
+    (catalogue, servers)
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,7 +10,10 @@
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
-//! - `fleet`: entry hosts as processes
+//! - `fleet`: entry hosts with stand-ins around them
+//! - `plan`: what a fleet consists of
+//! - `process`: entry hosts as processes
+//! - `network`: relays between data centres
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -18,6 +21,9 @@
 mod behaviour;
 pub mod demo;
 pub mod fleet;
+mod network;
+mod plan;
+mod process;
 pub mod relay;
 mod server;
 mod slots;
--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,172 @@
+//! What a fleet consists of: a catalogue, entry hosts and the behaviour of the targets.
+
+use std::time::Duration;
+
+use sapphirerack_catalogue::{
+    Catalogue, DataCentre, Limits, Member, Name, Presence, SPACE, Service, Shard, Span, Target,
+    TargetState,
+};
+use serde_json::Value;
+
+use crate::fleet::LOOPBACK;
+use crate::target::Behaviour;
+
+/// Connections from which on a new one costs little, in the brief's deployments.
+const MANY_CONNECTIONS: u32 = 40;
+const COSTLY_CONNECT: Duration = Duration::from_millis(6);
+const CHEAP_CONNECT: Duration = Duration::from_millis(1);
+
+/// Entry hosts that each of the brief's deployments has.
+const DEPLOYMENT_HOSTS: usize = 8;
+
+/// Shape of a small setup: one service with a replica of each shard in each data centre.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Names of the data centres.
+    pub data_centres: Vec<Name>,
+    /// Entry hosts in each data centre.
+    pub hosts: usize,
+    /// Shards of the service.
+    pub shards: u32,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Mean service time.
+    pub service: Duration,
+    /// Share of requests that take ten times as long.
+    pub stragglers: f64,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+/// Gives the behaviour of a target, starting from the plain one that the catalogue implies.
+pub type Behave = Box<dyn Fn(&Service, &Target, Behaviour) -> Behaviour>;
+
+/// What a fleet consists of.
+pub struct Plan {
+    /// The catalogue; addresses of targets are replaced by those of the stand-ins.
+    pub catalogue: Catalogue,
+    /// Data centre of each entry host.
+    pub hosts: Vec<Name>,
+    /// Behaviour of the targets.
+    pub behave: Behave,
+    /// Merged into the settings of every host.
+    pub settings: Value,
+    /// Gives every data centre relays to the others and a door of its own to the store.
+    pub network: bool,
+}
+
+impl Plan {
+    /// A catalogue with hosts in these data centres.
+    pub fn new(catalogue: Catalogue, hosts: Vec<Name>) -> Self {
+        let behave: Behave = Box::new(|_, _, behaviour| behaviour);
+        Self { catalogue, hosts, behave, settings: Value::Null, network: false }
+    }
+
+    /// The deployment of Zeugenwerk.
+    pub fn zeugenwerk() -> Self {
+        Self::deployment(include_str!("../deployments/zeugenwerk.json"))
+    }
+
+    /// The deployment of Castlegate.
+    pub fn castlegate() -> Self {
+        Self::deployment(include_str!("../deployments/castlegate.json"))
+    }
+
+    fn deployment(text: &str) -> Self {
+        let catalogue = sapphirerack_catalogue::from_text(text).unwrap();
+        let centres = catalogue.data_centres.iter().map(|d| d.name.clone());
+        let hosts = centres.cycle().take(DEPLOYMENT_HOSTS).collect();
+        Self::new(catalogue, hosts)
+    }
+
+    /// Changes the behaviour of the targets.
+    pub fn with_behaviour(
+        mut self,
+        behave: impl Fn(&Service, &Target, Behaviour) -> Behaviour + 'static,
+    ) -> Self {
+        self.behave = Box::new(behave);
+        self
+    }
+
+    /// Merges `settings` into those of every host.
+    pub fn with_settings(mut self, settings: Value) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Gives every data centre relays to the others and a door of its own to the store.
+    pub fn with_network(mut self) -> Self {
+        self.network = true;
+        self
+    }
+}
+
+impl From<&Shape> for Plan {
+    fn from(shape: &Shape) -> Self {
+        let hosts = shape.data_centres.iter();
+        let hosts = hosts.flat_map(|d| std::iter::repeat_n(d.clone(), shape.hosts)).collect();
+        let (service, stragglers, seed) = (shape.service, shape.stragglers, shape.seed);
+        let plan = Self::new(catalogue(shape), hosts);
+        plan.with_behaviour(move |_, _, behaviour| Behaviour {
+            service,
+            stragglers,
+            connect: Duration::ZERO,
+            seed: behaviour.seed.wrapping_add(seed),
+            ..behaviour
+        })
+    }
+}
+
+/// Behaviour that the catalogue implies; `index` makes the seed.
+pub(crate) fn plain(shard: &Shard, target: &Target, index: usize) -> Behaviour {
+    let cheap = target.connections >= MANY_CONNECTIONS;
+    Behaviour {
+        name: target.name.clone(),
+        span: shard.span,
+        slots: target.slots,
+        connections: target.connections,
+        connect: if cheap { CHEAP_CONNECT } else { COSTLY_CONNECT },
+        seed: index as u64,
+        ..Behaviour::default()
+    }
+}
+
+/// Part `i` of `count` of the partition space.
+pub fn span(i: u32, count: u32) -> Span {
+    let bound = |i: u32| u32::try_from(u64::from(SPACE) * u64::from(i) / u64::from(count));
+    Span::new(bound(i).unwrap(), bound(i + 1).unwrap())
+}
+
+fn catalogue(shape: &Shape) -> Catalogue {
+    let shards = (0..shape.shards).map(|i| Shard {
+        name: i.to_string().into(),
+        span: span(i, shape.shards),
+        targets: shape.data_centres.iter().map(|d| target(shape, i, d)).collect(),
+    });
+    let service = Service {
+        name: "search".into(),
+        owner: "zeugenwerk".into(),
+        class: "search".into(),
+        limits: Limits { concurrency: 64, deadline: Duration::from_secs(1) },
+        shards: shards.collect(),
+    };
+    let centre = |name: &Name| DataCentre { name: name.clone(), presence: Presence::In };
+    Catalogue {
+        members: vec![Member { name: "zeugenwerk".into(), key: "0".into() }],
+        data_centres: shape.data_centres.iter().map(centre).collect(),
+        services: vec![service],
+    }
+}
+
+fn target(shape: &Shape, shard: u32, data_centre: &Name) -> Target {
+    Target {
+        name: format!("search-{shard}-{data_centre}").into(),
+        address: LOOPBACK,
+        data_centre: data_centre.clone(),
+        version: "v1".into(),
+        slots: shape.slots,
+        connections: 25,
+        cold: 1,
+        state: TargetState::Active,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/process.rs
@@ -0,0 +1,203 @@
+//! Entry hosts as processes.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::Name;
+use sapphirerack_platform::{HostEntry, HostState};
+use serde_json::{Value, json};
+
+use crate::fleet::LOOPBACK;
+
+/// Time within which a host must answer.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Ports for hosts. The system takes ports for outgoing connections from 32768 on.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Clock ticks in a second, as /proc counts processor time.
+const TICKS: f64 = 100.0;
+
+/// A host process with its addresses.
+pub struct HostProcess {
+    /// Unique name.
+    pub name: Name,
+    /// Data centre in which it stands.
+    pub data_centre: Name,
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Operators' HTTP.
+    pub operators: SocketAddr,
+    /// Links from other hosts.
+    pub hosts: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl HostProcess {
+    /// Starts a host; `extra` is merged into its settings.
+    pub fn start(
+        program: &Path,
+        name: &str,
+        data_centre: &Name,
+        store: SocketAddr,
+        extra: &Value,
+    ) -> Self {
+        let [callers, operators, hosts] = free_ports();
+        let mut settings = json!({
+            "name": name, "data_centre": data_centre,
+            "listen": { "callers": callers, "operators": operators, "hosts": hosts },
+            "store": { "address": store },
+            "log": "warn",
+        });
+        merge(&mut settings, extra);
+        let settings = scratch(&format!("{name}.json"), &settings.to_string());
+        Self {
+            name: name.into(),
+            data_centre: data_centre.clone(),
+            callers,
+            operators,
+            hosts,
+            program: program.to_owned(),
+            child: spawn(program, &settings),
+            settings,
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process anew with the same settings, after killing it if it runs.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.program, &self.settings);
+    }
+
+    /// Asks the process to stop, as the platform does.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits until the process has ended; true if it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Processor time that it has used.
+    pub fn cpu(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap();
+        // Fields are counted after the name, which may hold spaces: user and system time.
+        let fields = text.rsplit_once(')').unwrap().1.split_whitespace().skip(11).take(2);
+        let ticks: f64 = fields.map(|f| f.parse::<f64>().unwrap()).sum();
+        Duration::from_secs_f64(ticks / TICKS)
+    }
+
+    /// Resident memory, in kilobytes.
+    pub fn memory(&self) -> u64 {
+        self.status("VmRSS:")
+    }
+
+    /// Threads.
+    pub fn threads(&self) -> u64 {
+        self.status("Threads:")
+    }
+
+    /// Entry of the platform's host list.
+    pub fn entry(&self) -> HostEntry {
+        HostEntry {
+            name: self.name.clone(),
+            data_centre: self.data_centre.clone(),
+            address: self.hosts,
+            state: HostState::Live,
+        }
+    }
+
+    /// Waits until the host answers 200 at `path` on the operators' front.
+    pub fn await_answer(&self, path: &str) {
+        let limit = Instant::now() + READY_LIMIT;
+        let url = format!("http://{}/{path}", self.operators);
+        let get = || minreq::get(&url).with_timeout(1).send();
+        while !get().is_ok_and(|r| r.status_code == 200) {
+            assert!(Instant::now() < limit, "{} does not answer {path}", self.name);
+            thread::sleep(READY_PAUSE);
+        }
+    }
+
+    fn status(&self, field: &str) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let line = text.lines().find_map(|l| l.strip_prefix(field)).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &id]).status().unwrap();
+        assert!(status.success(), "signal {signal} to {}", self.name);
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn spawn(program: &Path, settings: &Path) -> Child {
+    let mut command = Command::new(program);
+    command.arg("serve").arg(settings).stdout(Stdio::null()).spawn().unwrap()
+}
+
+/// Merges `extra` into `base`, objects field by field.
+fn merge(base: &mut Value, extra: &Value) {
+    match (base, extra) {
+        (Value::Object(base), Value::Object(extra)) => {
+            for (key, value) in extra {
+                merge(base.entry(key.as_str()).or_insert(Value::Null), value);
+            }
+        }
+        (_, Value::Null) => {}
+        (base, extra) => *base = extra.clone(),
+    }
+}
+
+/// Three ports that were free a moment ago, below those that the system hands to clients.
+fn free_ports() -> [SocketAddr; 3] {
+    [(); 3].map(|()| {
+        let mut any =
+            std::iter::repeat_with(|| SocketAddr::new(LOOPBACK.ip(), fastrand::u16(PORTS)));
+        any.find(|address| TcpListener::bind(address).is_ok()).unwrap()
+    })
+}
+
+/// Writes a file for a process of this run.
+pub(crate) fn scratch(name: &str, text: &str) -> PathBuf {
+    let unique = format!("sapphirerack-{}-{:08x}-{name}", std::process::id(), fastrand::u32(..));
+    let path = std::env::temp_dir().join(unique);
+    std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
+    path
+}
