Measure open-loop load, product and baselines side by side

Cause: no figure could be taken: the demo's callers wait for answers, and there was nothing to compare with. Change: `lab load FILE` and `lab bench`: Poisson arrivals from a seed, latency from the intended start, a mix by member, class and route, four conditions, every answer judged, table with spread and JSON lines. Baselines: naive fan-out, static shares, owner per target. Figures: none claimed here; the table is run on a quiet machine.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
+use crate::answer::Answer;
 use crate::fleet::{Fleet, Shape};
 
 const QUERIES: usize = 600;
@@ -35,25 +36,6 @@
     pub extra_load: f64,
 }
 
-#[derive(Deserialize)]
-struct Answer {
-    snapshot: u64,
-    coverage: f64,
-    parts: Vec<Part>,
-}
-
-#[derive(Deserialize)]
-struct Part {
-    span: sapphirerack_catalogue::Span,
-    results: Vec<Found>,
-}
-
-#[derive(Deserialize)]
-struct Found {
-    snapshot: u64,
-    query: String,
-}
-
 /// Runs the demonstration with the shipped binary `program`.
 pub fn run(program: &Path) -> Summary {
     let shape = Shape {
@@ -114,17 +96,9 @@
     summary.queries += 1;
     let Some(answer) = answer else { return };
     summary.answered += 1;
-    let found = || answer.parts.iter().flat_map(|p| &p.results);
-    assert!(found().all(|f| f.query == query), "answer to another request");
-    if found().any(|f| f.snapshot != answer.snapshot) {
-        summary.mixed_snapshots += 1;
-    }
-    let mut truth = sapphirerack_policy::Coverage::default();
-    let disjoint = answer.parts.iter().all(|p| truth.add(p.span));
-    if !disjoint || (truth.fraction() - answer.coverage).abs() > f64::EPSILON {
-        summary.false_coverage += 1;
-    }
-    if truth.is_complete() {
-        summary.complete += 1;
-    }
+    let verdict = answer.judge(query);
+    assert!(!verdict.foreign, "answer to another request");
+    summary.mixed_snapshots += u64::from(verdict.mixed);
+    summary.false_coverage += u64::from(verdict.false_coverage);
+    summary.complete += u64::from(verdict.coverage == 1.0);
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,17 +14,31 @@
 //! - `plan`: what a fleet consists of
 //! - `process`: entry hosts as processes
 //! - `network`: relays between data centres
+//! - `load`: files that describe a load
+//! - `experiment`: runs a load file
+//! - `driver`: open-loop arrivals
+//! - `baseline`: simpler ways of dispatching
+//! - `client`: HTTP client of the load and the baselines
+//! - `answer`: checks of answers
+//! - `report`: table and JSON lines of runs
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod answer;
+mod baseline;
 mod behaviour;
+mod client;
 pub mod demo;
+mod driver;
+pub mod experiment;
 pub mod fleet;
+pub mod load;
 mod network;
 mod plan;
 mod process;
 pub mod relay;
+pub mod report;
 mod server;
 mod slots;
 pub mod store;
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -72,6 +72,28 @@
         Self::deployment(include_str!("../deployments/castlegate.json"))
     }
 
+    /// One data centre with 8 hosts and one service, `search`.
+    pub fn group(shards: u32, replicas: u32, slots: u32) -> Self {
+        let shape = Shape {
+            data_centres: vec!["leith".into()],
+            hosts: DEPLOYMENT_HOSTS,
+            shards,
+            slots,
+            service: Duration::ZERO,
+            stragglers: 0.0,
+            seed: 0,
+        };
+        let mut catalogue = catalogue(&shape);
+        for (i, shard) in (0..).zip(&mut catalogue.services[0].shards) {
+            let replica = |r| Target {
+                name: format!("search-{i}-{r}").into(),
+                ..target(&shape, i, &shape.data_centres[0])
+            };
+            shard.targets = (0..replicas).map(replica).collect();
+        }
+        Self::new(catalogue, vec![shape.data_centres[0].clone(); shape.hosts])
+    }
+
     fn deployment(text: &str) -> Self {
         let catalogue = sapphirerack_catalogue::from_text(text).unwrap();
         let centres = catalogue.data_centres.iter().map(|d| d.name.clone());
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,176 @@
+//! Table and JSON lines of runs.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::load::Condition;
+
+/// What was measured in one run, as a whole or of a part of the mix.
+#[derive(Clone, Debug, Serialize)]
+pub struct Run {
+    /// Variant.
+    pub variant: String,
+    /// Arrival rate, as a share of the capacity of healthy targets.
+    pub load: f64,
+    /// State of the targets.
+    pub condition: Condition,
+    /// Number of the repeat.
+    pub repeat: u32,
+    /// Member, class and route, or `all`.
+    pub part: String,
+    /// Arrivals a second, as intended.
+    pub rate: f64,
+    /// Queries that arrived while it was measured.
+    pub queries: u64,
+    /// Queries that got an answer.
+    pub answered: u64,
+    /// Queries refused as not run.
+    pub refused: u64,
+    /// Queries without an answer.
+    pub failed: u64,
+    /// Complete answers within the deadline, a second.
+    pub goodput: f64,
+    /// Complete answers within the deadline, as a share of the queries.
+    pub good_share: f64,
+    /// Mean true coverage; queries without an answer have none.
+    pub coverage: f64,
+    /// Median latency of answered queries from the intended start.
+    pub p50_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// 99.9th percentile.
+    pub p999_ms: f64,
+    /// Requests at targets beyond one for each shard of an answered query, as a share.
+    pub extra: f64,
+    /// Share of the slots' time in use.
+    pub busy: f64,
+    /// Most requests that ran at the same time at any target.
+    pub most_running: u32,
+    /// Most requests that ran or waited at any target, over its slots.
+    pub held_to_slots: f64,
+    /// Most connections at any target, refused ones included, over its limit.
+    pub connections_to_limit: f64,
+    /// Most requests at any target while it was cold.
+    pub most_cold: u32,
+    /// Requests to cold targets beyond what they bear.
+    pub overloads: u64,
+    /// Requests that targets shed.
+    pub shed: u64,
+    /// Answers with results of another request.
+    pub foreign: u64,
+    /// Answers that mix snapshots.
+    pub mixed: u64,
+    /// Answers that report another coverage than they have.
+    pub false_coverage: u64,
+    /// Processor time of all hosts by query; 0 for baselines.
+    pub cpu_us_per_query: f64,
+}
+
+impl Default for Run {
+    fn default() -> Self {
+        Self {
+            variant: String::new(),
+            load: 0.0,
+            condition: Condition::Healthy,
+            repeat: 0,
+            part: String::new(),
+            rate: 0.0,
+            queries: 0,
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            goodput: 0.0,
+            good_share: 0.0,
+            coverage: 0.0,
+            p50_ms: 0.0,
+            p99_ms: 0.0,
+            p999_ms: 0.0,
+            extra: 0.0,
+            busy: 0.0,
+            most_running: 0,
+            held_to_slots: 0.0,
+            connections_to_limit: 0.0,
+            most_cold: 0,
+            overloads: 0,
+            shed: 0,
+            foreign: 0,
+            mixed: 0,
+            false_coverage: 0,
+            cpu_us_per_query: 0.0,
+        }
+    }
+}
+
+/// A column of the table.
+struct Column {
+    title: &'static str,
+    value: fn(&Run) -> f64,
+    digits: usize,
+}
+
+const COLUMNS: [Column; 13] = [
+    Column { title: "p50 ms", value: |r| r.p50_ms, digits: 1 },
+    Column { title: "p99 ms", value: |r| r.p99_ms, digits: 1 },
+    Column { title: "p99.9 ms", value: |r| r.p999_ms, digits: 1 },
+    Column { title: "coverage", value: |r| r.coverage, digits: 4 },
+    Column { title: "good %", value: |r| r.good_share * 100.0, digits: 1 },
+    Column { title: "goodput/s", value: |r| r.goodput, digits: 0 },
+    Column { title: "refused %", value: |r| share(r.refused, r.queries), digits: 1 },
+    Column { title: "extra %", value: |r| r.extra * 100.0, digits: 1 },
+    Column { title: "busy %", value: |r| r.busy * 100.0, digits: 0 },
+    Column { title: "held/slots", value: |r| r.held_to_slots, digits: 1 },
+    Column { title: "conn/limit", value: |r| r.connections_to_limit, digits: 2 },
+    Column { title: "most cold", value: |r| f64::from(r.most_cold), digits: 0 },
+    Column {
+        title: "dishonest",
+        value: |r| (r.foreign + r.mixed + r.false_coverage) as f64,
+        digits: 0,
+    },
+];
+
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 * 100.0 / whole.max(1) as f64
+}
+
+/// Table of the runs: the median of the repeats with the least and the most in brackets.
+pub fn table(runs: &[Run]) -> String {
+    let mut text = String::from("| condition | load | part | variant |");
+    COLUMNS.iter().for_each(|c| write!(text, " {} |", c.title).unwrap());
+    text.push_str("\n|---|---|---|---|");
+    COLUMNS.iter().for_each(|_| text.push_str("---|"));
+    text.push('\n');
+    let mut seen: Vec<&Run> = Vec::new();
+    for run in runs {
+        if seen.iter().any(|other| same(other, run)) {
+            continue;
+        }
+        seen.push(run);
+        let repeats: Vec<&Run> = runs.iter().filter(|other| same(other, run)).collect();
+        let (condition, load) = (run.condition, run.load);
+        write!(text, "| {condition:?} | {load} | {} | {} |", run.part, run.variant).unwrap();
+        for column in &COLUMNS {
+            write!(text, " {} |", spread(column, &repeats)).unwrap();
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn same(one: &Run, other: &Run) -> bool {
+    let key = |r: &Run| (r.variant.clone(), r.condition, r.load.to_bits(), r.part.clone());
+    key(one) == key(other)
+}
+
+fn spread(column: &Column, runs: &[&Run]) -> String {
+    let mut values: Vec<f64> = runs.iter().map(|r| (column.value)(r)).collect();
+    values.sort_by(f64::total_cmp);
+    let digits = column.digits;
+    let median = values[values.len() / 2];
+    let (least, most) = (values[0], values[values.len() - 1]);
+    let shown = format!("{median:.digits$}");
+    if format!("{least:.digits$}") == shown && format!("{most:.digits$}") == shown {
+        return shown;
+    }
+    format!("{shown} ({least:.digits$} to {most:.digits$})")
+}
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -22,6 +22,9 @@
 pub use crate::slots::Counters;
 use crate::slots::{Admission, Signal, Slots};
 
+/// Time by which the runtime's timer is late on average.
+const TIMER_LAG: Duration = Duration::from_millis(1);
+
 /// Time after which the connection of a lost answer closes.
 const LOST_TIME: Duration = Duration::from_secs(60);
 
@@ -275,7 +278,7 @@
     let time = shared.service_time(behaviour, route);
     let fails = shared.defects(behaviour, route).any(|kind| kind == DefectKind::Fail);
     let start = Instant::now();
-    let signal = tokio::time::timeout(time, signals).await;
+    let signal = tokio::time::timeout(time.saturating_sub(TIMER_LAG), signals).await;
     let slots = shared.behaviour().slots;
     shared.slots.release(id, slots, start.elapsed());
     match signal {
