Record moves in the catalogue and decide them from it

Cause: operators' moves need a form that ends by its deadline on every host, whether or not a store, a lease or an executor is there. Ruled out: writing the effect into the entries at the start and undoing it at the deadline (the undo needs a store and someone alive); an executor with a lease (does not protect while it is paused). Change: a move is one record with stages and a deadline; `effective` is a pure function of record, clock and verdicts; `project` lays open moves over the catalogue; `take` writes a step fenced by the record's revision. Verdicts are a set that only grows. Moves are decided up to `decide_by`, ahead of the deadline by the time in force plus the clock bound (at most a tenth of the move's length). Conclusion: the decisions stand without I/O; hosts, evidence and commands build on them.

--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::check::check;
-use crate::{DataCentre, Error, Member, Name, Result, Service};
+use crate::{DataCentre, Error, Member, Move, Name, Result, Service, Target};
 
 /// Every entry that operators keep.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
     pub data_centres: Vec<DataCentre>,
     /// Services with their shards and targets.
     pub services: Vec<Service>,
+    /// Moves, open ones and those that ended lately.
+    pub moves: Vec<Move>,
 }
 
 impl Catalogue {
@@ -33,6 +35,17 @@
         self.data_centres.iter().find(|d| &*d.name == name)
     }
 
+    /// Move with the given id.
+    pub fn find_move(&self, id: &str) -> Option<&Move> {
+        self.moves.iter().find(|m| &*m.id == id)
+    }
+
+    /// Target of the given name, of whatever service.
+    pub fn target(&self, name: &str) -> Option<&Target> {
+        let shards = self.services.iter().flat_map(|s| &s.shards);
+        shards.flat_map(|s| &s.targets).find(|t| &*t.name == name)
+    }
+
     /// Names of all members.
     pub fn member_names(&self) -> impl Iterator<Item = &Name> {
         self.members.iter().map(|m| &m.name)
--- a/crates/catalogue/src/check.rs
+++ b/crates/catalogue/src/check.rs
@@ -1,5 +1,6 @@
 //! Rules that a catalogue must satisfy.
 
+use crate::check_moves::check_moves;
 use crate::{Catalogue, Error, Limits, Name, Result, SPACE, Service, Set, Shard, Target};
 
 /// Longest name of an entry, in bytes.
@@ -13,10 +14,11 @@
     for (i, service) in catalogue.services.iter().enumerate() {
         check_service(catalogue, service, &format!("services[{i}]"))?;
     }
-    check_targets(catalogue)
+    check_targets(catalogue)?;
+    check_moves(catalogue)
 }
 
-fn unique<'a>(path: &str, names: impl Iterator<Item = &'a Name>) -> Result<()> {
+pub(crate) fn unique<'a>(path: &str, names: impl Iterator<Item = &'a Name>) -> Result<()> {
     let mut seen = Set::default();
     for (i, name) in names.enumerate() {
         check_name(name, &format!("{path}[{i}].name"))?;
@@ -28,7 +30,7 @@
     Ok(())
 }
 
-fn check_name(name: &str, path: &str) -> Result<()> {
+pub(crate) fn check_name(name: &str, path: &str) -> Result<()> {
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if name.is_empty() || name.len() > NAME_LIMIT || !name.chars().all(plain) {
         let expected = "1 to 64 letters, digits, '-', '_' or '.'";
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -33,14 +33,17 @@
 //! - `catalogue`: the whole document and its reading
 //! - `member`, `service`, `target`, `data_centre`: its entries
 //! - `span`: parts of the partition space
-//! - `check`: what a catalogue must satisfy
+//! - `moves`: planned changes with a deadline
+//! - `check`, `check_moves`: what a catalogue must satisfy
 //! - `error`: the crate's error
 
 mod catalogue;
 mod check;
+mod check_moves;
 mod data_centre;
 mod error;
 mod member;
+mod moves;
 mod name;
 mod service;
 mod span;
@@ -50,6 +53,7 @@
 pub use crate::data_centre::{DataCentre, Presence};
 pub use crate::error::{Category, Error, Result};
 pub use crate::member::Member;
+pub use crate::moves::{Fault, Goal, Move, MoveState, Reason, Stage, Subject, Undecided, WHOLE};
 pub use crate::name::{Map, Name, Set};
 pub use crate::service::{Limits, Service, Shard};
 pub use crate::span::{SPACE, Span};
--- a/crates/catalogue/src/target.rs
+++ b/crates/catalogue/src/target.rs
@@ -13,6 +13,8 @@
     /// Takes new work.
     #[default]
     Active,
+    /// Started beside the others; takes no work until a shift sends it some.
+    Standby,
     /// Being retired; takes no new work.
     Leaving,
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -192,6 +192,7 @@
         members: vec![Member { name: "zeugenwerk".into(), key: "0".into() }],
         data_centres: shape.data_centres.iter().map(centre).collect(),
         services: vec![service],
+        moves: Vec::new(),
     };
     (catalogue, servers)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,18 +17,25 @@
 //!
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
+//! - `start`: whether a move may start, and its stages
+//! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod clock;
 mod coverage;
+pub mod moves;
 mod rendezvous;
 mod route;
 mod snapshot;
+mod start;
+mod verdicts;
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
+pub use crate::verdicts::{Verdict, Verdicts};
