Give each process of the lab a loopback address of its own

Its log: 'listen at 127.0.0.1:15179: Address already in use'. Ports were probed, released, and taken by another test process before the host bound them.

Ruled out: the store's watch (its check and subscription can't miss a write) and the host's start.

Change: hosts listen at 127.64.0.0/10, the low bits being the process id of the lab, on counted ports; nothing is probed.

Conclusion: two processes can't meet; outgoing connections start from 127.0.0.1 and can't either.

--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -1,9 +1,10 @@
 //! Entry hosts as processes.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,14 +12,15 @@
 use sapphirerack_platform::{HostEntry, HostState};
 use serde_json::{Value, json};
 
-use crate::fleet::LOOPBACK;
-
 /// Time within which a host must answer.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Ports for hosts. The system takes ports for outgoing connections from 32768 on.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// First port for hosts.
+const FIRST_PORT: u16 = 10_000;
+
+/// Bit that keeps the lab's loopback addresses apart from the usual one. Process ids take 22 bits.
+const PROCESS_NET: u8 = 0x40;
 
 /// Clock ticks in a second, as /proc counts processor time.
 const TICKS: f64 = 100.0;
@@ -49,7 +51,7 @@
         store: SocketAddr,
         extra: &Value,
     ) -> Self {
-        let [callers, operators, hosts] = free_ports();
+        let [callers, operators, hosts] = addresses();
         let mut settings = json!({
             "name": name, "data_centre": data_centre,
             "listen": { "callers": callers, "operators": operators, "hosts": hosts },
@@ -185,13 +187,13 @@
     }
 }
 
-/// Three ports that were free a moment ago, below those that the system hands to clients.
-fn free_ports() -> [SocketAddr; 3] {
-    [(); 3].map(|()| {
-        let mut any =
-            std::iter::repeat_with(|| SocketAddr::new(LOOPBACK.ip(), fastrand::u16(PORTS)));
-        any.find(|address| TcpListener::bind(address).is_ok()).unwrap()
-    })
+/// Three addresses for a host that no other process uses: each process of the lab has a loopback
+/// address of its own, and counts its ports.
+fn addresses() -> [SocketAddr; 3] {
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, PROCESS_NET | high, middle, low);
+    [(); 3].map(|()| SocketAddr::new(own.into(), NEXT.fetch_add(1, Ordering::Relaxed)))
 }
 
 /// Writes a file for a process of this run.
