Judge new versions by always-valid e-values

Cause: a verdict must hold whenever it is looked at, with few requests and with many, early and late. Change: policy/verdict compares both versions in blocks of the same time with margins; half of the stake is paid in over the planned blocks; policy/evidence sums tests over hosts, kept by host and merged by the later one, bounded to a sample of 256 hosts that all agree on.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,20 +17,24 @@
 //!
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `evidence`: evidence for and against a new version, from one host and from many
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
 //! - `start`: whether a move may start, and its stages
+//! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod clock;
 mod coverage;
+pub mod evidence;
 pub mod moves;
 mod rendezvous;
 mod route;
 mod snapshot;
 mod start;
+pub mod verdict;
 mod verdicts;
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
