Measure slopes of searching and control at several sizes

Ruled out: bytes from /proc (socket calls are not counted there) and from the loopback interface (every process of the machine shares it): so relays and fake peers count them. Change: `lab slopes`: sub-queries at an entry host and at an owner apart from each other, catalogue entries, peers of one host (fakes that answer heartbeats), hosts, links, changes. Least squares, table and JSON lines.

--- /dev/null
+++ b/crates/lab/src/fake_peers.rs
@@ -0,0 +1,101 @@
+//! Stand-ins for many peers of one host: they answer its heartbeats and count its bytes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use sapphirerack_catalogue::Name;
+use sapphirerack_platform::{HostEntry, HostState};
+use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use crate::fleet::LOOPBACK;
+use crate::server::{runtime, unless};
+
+/// Datagrams and bytes that the peers got and sent.
+#[derive(Debug, Default)]
+struct Counts {
+    datagrams: AtomicU64,
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+/// Running peers; dropping them closes their sockets.
+pub struct FakePeers {
+    entries: Vec<HostEntry>,
+    counts: Arc<Counts>,
+    _stop: watch::Sender<()>,
+}
+
+impl FakePeers {
+    /// Starts `count` peers in a data centre.
+    pub fn start(count: usize, data_centre: &Name) -> Self {
+        let counts = Arc::new(Counts::default());
+        let (stop, stopped) = watch::channel(());
+        let peer = |i| {
+            let name: Name = format!("peer-{i}").into();
+            let socket = std::net::UdpSocket::bind(LOOPBACK).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            let address = socket.local_addr().unwrap();
+            let (counts, mut stopped) = (counts.clone(), stopped.clone());
+            let own = own(&name, data_centre, address);
+            runtime().spawn(async move {
+                let answers = answer(socket, own, &counts);
+                unless(answers, stopped.changed()).await;
+            });
+            HostEntry { name, data_centre: data_centre.clone(), address, state: HostState::Live }
+        };
+        let entries = (0..count).map(peer).collect();
+        Self { entries, counts, _stop: stop }
+    }
+
+    /// Entries of the host list.
+    pub fn entries(&self) -> &[HostEntry] {
+        &self.entries
+    }
+
+    /// Datagrams received, bytes received and bytes sent.
+    pub fn counts(&self) -> [u64; 3] {
+        let counts = &self.counts;
+        [&counts.datagrams, &counts.received, &counts.sent].map(|c| c.load(Ordering::Relaxed))
+    }
+}
+
+fn own(name: &Name, data_centre: &Name, address: SocketAddr) -> Peer {
+    Peer {
+        name: name.clone(),
+        data_centre: data_centre.clone(),
+        address,
+        incarnation: 1,
+        liveness: Liveness::Alive,
+        age: 0,
+    }
+}
+
+async fn answer(socket: std::net::UdpSocket, own: Peer, counts: &Counts) {
+    let socket = UdpSocket::from_std(socket).unwrap();
+    let mut bytes = vec![0; DATAGRAM_LIMIT];
+    while let Ok((len, from)) = socket.recv_from(&mut bytes).await {
+        counts.datagrams.fetch_add(1, Ordering::Relaxed);
+        counts.received.fetch_add(len as u64, Ordering::Relaxed);
+        let Ok(datagram) = Datagram::decode(&bytes[..len]) else { continue };
+        if let Purpose::Ping(seq) = datagram.purpose {
+            let ack = ack(own.clone(), seq, datagram).encode().unwrap();
+            counts.sent.fetch_add(ack.len() as u64, Ordering::Relaxed);
+            let _ = socket.send_to(&ack, from).await;
+        }
+    }
+}
+
+/// An ack that brings no news of its own.
+fn ack(from: Peer, seq: u64, ping: Datagram) -> Datagram {
+    Datagram {
+        from,
+        purpose: Purpose::Ack(seq),
+        peers: Vec::new(),
+        summaries: Vec::new(),
+        topics: Vec::new(),
+        ..ping
+    }
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::network::Network;
-pub use crate::plan::{Plan, Shape};
+pub use crate::plan::{Plan, Shape, span};
 pub use crate::process::HostProcess;
 use crate::process::scratch;
 use crate::relay::RelayFault;
@@ -43,7 +43,10 @@
     /// Starts stand-ins and hosts; `program` is the shipped binary.
     pub fn launch(program: &Path, plan: Plan) -> Self {
         let store = StoreServer::start(LOOPBACK);
-        let (catalogue, targets) = start_targets(&plan);
+        let (catalogue, targets) = match plan.stand_ins {
+            true => start_targets(&plan),
+            false => (plan.catalogue.clone(), Vec::new()),
+        };
         let centres = catalogue.data_centres.iter().map(|d| d.name.clone());
         let network = plan.network.then(|| Network::new(&store, centres));
         let mut fleet = Self {
@@ -128,6 +131,13 @@
         network.door(data_centre).unwrap().update(|f| f.outage = cut);
     }
 
+    /// Bytes of TCP between data centres: from the host that connected, and back.
+    ///
+    /// The plan must have a network.
+    pub fn bytes_between(&self) -> (u64, u64) {
+        self.network.as_ref().expect("a plan with a network").passed()
+    }
+
     fn entries(&self) -> Vec<HostEntry> {
         self.hosts.iter().map(HostProcess::entry).collect()
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,6 +21,9 @@
 //! - `client`: HTTP client of the load and the baselines
 //! - `answer`: checks of answers
 //! - `report`: table and JSON lines of runs
+//! - `slopes`: what grows with what
+//! - `slope_search`, `slope_control`: what is measured for it
+//! - `fake_peers`: many peers of one host
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -32,6 +35,7 @@
 pub mod demo;
 mod driver;
 pub mod experiment;
+pub mod fake_peers;
 pub mod fleet;
 pub mod load;
 mod network;
@@ -40,6 +44,9 @@
 pub mod relay;
 pub mod report;
 mod server;
+pub mod slope_control;
+pub mod slope_search;
+pub mod slopes;
 mod slots;
 pub mod store;
 pub mod target;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,16 +2,20 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
 use sapphirerack_lab::load::{LoadError, LoadFile};
-use sapphirerack_lab::{demo, experiment, load, report};
+use sapphirerack_lab::slopes::Slope;
+use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
+use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
        lab load [--json FILE] LOAD_FILE
-       lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]";
+       lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
+       lab slopes [--json FILE] [--only EXPERIMENT]";
 
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
@@ -21,8 +25,8 @@
 enum Error {
     #[error("{0}\n{USAGE}")]
     Usage(String),
-    #[error("read {0}: {1}")]
-    Read(String, std::io::Error),
+    #[error("open {0}: {1}")]
+    File(String, std::io::Error),
     #[error("{0}: {1}")]
     Load(String, LoadError),
 }
@@ -51,11 +55,12 @@
             let [path] = matches.free.as_slice() else {
                 return Err(Error::Usage("expected one load file".into()));
             };
-            let text = std::fs::read_to_string(path).map_err(|e| Error::Read(path.clone(), e))?;
+            let text = std::fs::read_to_string(path).map_err(|e| Error::File(path.clone(), e))?;
             let file = load::from_text(&text).map_err(|e| Error::Load(path.clone(), e))?;
             measure(&file, &matches)
         }
         "bench" => measure(&bench(&matches)?, &matches),
+        "slopes" => slopes(&matches),
         other => Err(Error::Usage(format!("unknown command {other:?}"))),
     }
 }
@@ -103,18 +108,53 @@
 }
 
 fn measure(file: &LoadFile, matches: &Matches) -> Result<(), Error> {
-    let mut lines = String::new();
-    let json = matches.opt_str("json");
-    let runs = experiment::run(&program(), file, |run| {
-        let line = serde_json::to_string(run).unwrap();
-        match &json {
-            Some(_) => lines += &(line + "\n"),
-            None => println!("{line}"),
+    let mut lines = Lines::open(matches)?;
+    let runs = experiment::run(&program(), file, |run| lines.write(run));
+    print!("{}", report::table(&runs));
+    Ok(())
+}
+
+/// An experiment that measures slopes.
+type Experiment = fn(&Path) -> Vec<Slope>;
+
+const EXPERIMENTS: [(&str, Experiment); 6] = [
+    ("search", slope_search::measure),
+    ("catalogue", slope_control::catalogue),
+    ("peers", slope_control::peers),
+    ("hosts", slope_control::hosts),
+    ("links", slope_control::links),
+    ("changes", slope_control::changes),
+];
+
+fn slopes(matches: &Matches) -> Result<(), Error> {
+    let only = matches.opt_strs("only");
+    let mut lines = Lines::open(matches)?;
+    let mut all = Vec::new();
+    for (name, measure) in EXPERIMENTS {
+        if only.is_empty() || only.iter().any(|o| o == name) {
+            let measured = measure(&program());
+            measured.iter().for_each(|slope| lines.write(slope));
+            all.extend(measured);
         }
-    });
-    if let Some(path) = json {
-        std::fs::write(&path, lines).map_err(|e| Error::Read(path, e))?;
     }
-    print!("{}", report::table(&runs));
+    print!("{}", slopes::table(&all));
     Ok(())
 }
+
+/// Where JSON lines go.
+struct Lines(Box<dyn Write>);
+
+impl Lines {
+    fn open(matches: &Matches) -> Result<Self, Error> {
+        let Some(path) = matches.opt_str("json") else {
+            return Ok(Self(Box::new(std::io::stdout())));
+        };
+        let file = std::fs::File::create(&path).map_err(|e| Error::File(path, e))?;
+        Ok(Self(Box::new(file)))
+    }
+
+    fn write(&mut self, value: &impl Serialize) {
+        let line = serde_json::to_string(value).unwrap();
+        writeln!(self.0, "{line}").unwrap();
+    }
+}
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Bytes of TCP that have passed from the one who connected, and back.
+    pub(crate) fn passed(&self) -> (u64, u64) {
+        let all = self.relays.values().map(Relay::passed);
+        all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    }
+
     fn seen(&mut self, from: &Name, host: &HostEntry) -> HostEntry {
         if host.data_centre == *from {
             return host.clone();
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -53,13 +53,15 @@
     pub settings: Value,
     /// Gives every data centre relays to the others and a door of its own to the store.
     pub network: bool,
+    /// Starts a stand-in for each target; else the catalogue stays as it is.
+    pub stand_ins: bool,
 }
 
 impl Plan {
     /// A catalogue with hosts in these data centres.
     pub fn new(catalogue: Catalogue, hosts: Vec<Name>) -> Self {
         let behave: Behave = Box::new(|_, _, behaviour| behaviour);
-        Self { catalogue, hosts, behave, settings: Value::Null, network: false }
+        Self { catalogue, hosts, behave, settings: Value::Null, network: false, stand_ins: true }
     }
 
     /// The deployment of Zeugenwerk.
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Map;
@@ -28,9 +29,17 @@
     pub delay: Duration,
 }
 
+/// Bytes of TCP that a relay has passed.
+#[derive(Debug, Default)]
+struct Passed {
+    forth: AtomicU64,
+    back: AtomicU64,
+}
+
 /// A running relay; dropping it closes its connections.
 pub struct Relay {
     address: SocketAddr,
+    passed: Arc<Passed>,
     fault: watch::Sender<RelayFault>,
 }
 
@@ -40,9 +49,10 @@
         let (tcp, udp) = bind();
         let address = tcp.local_addr().unwrap();
         let (fault, faults) = watch::channel(RelayFault::default());
-        runtime().spawn(accept(tcp, target, faults.clone()));
+        let passed = Arc::new(Passed::default());
+        runtime().spawn(accept(tcp, target, faults.clone(), passed.clone()));
         runtime().spawn(datagrams(udp, target, faults));
-        Self { address, fault }
+        Self { address, passed, fault }
     }
 
     /// Address on which it listens.
@@ -50,6 +60,12 @@
         self.address
     }
 
+    /// Bytes of TCP passed towards the target and back.
+    pub fn passed(&self) -> (u64, u64) {
+        let passed = &self.passed;
+        (passed.forth.load(Ordering::Relaxed), passed.back.load(Ordering::Relaxed))
+    }
+
     /// Changes what it does to the traffic.
     pub fn set(&self, fault: RelayFault) {
         self.fault.send_replace(fault);
@@ -82,6 +98,7 @@
     listener: std::net::TcpListener,
     target: SocketAddr,
     faults: watch::Receiver<RelayFault>,
+    passed: Arc<Passed>,
 ) {
     let listener = TcpListener::from_std(listener).unwrap();
     let mut dropped = faults.clone();
@@ -90,15 +107,21 @@
     while let Some(accepted) = unless(listener.accept(), &mut ended).await {
         let Ok((stream, _)) = accepted else { continue };
         if !faults.borrow().closed {
-            let faults = faults.clone();
+            let (faults, passed) = (faults.clone(), passed.clone());
             tokio::spawn(async move {
-                unless(relay(stream, target, &faults), closing(faults.clone())).await
+                let relayed = relay(stream, target, &faults, &passed);
+                unless(relayed, closing(faults.clone())).await;
             });
         }
     }
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, faults: &watch::Receiver<RelayFault>) {
+async fn relay(
+    near: TcpStream,
+    target: SocketAddr,
+    faults: &watch::Receiver<RelayFault>,
+    passed: &Passed,
+) {
     if open(&mut faults.clone()).await.is_none() {
         return;
     }
@@ -107,8 +130,8 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let forth = pass(near_read, far_write, faults.clone());
-    let back = pass(far_read, near_write, faults.clone());
+    let forth = pass(near_read, far_write, faults.clone(), &passed.forth);
+    let back = pass(far_read, near_write, faults.clone(), &passed.back);
     unless(forth, back).await;
 }
 
@@ -117,6 +140,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<RelayFault>,
+    passed: &AtomicU64,
 ) {
     let (sender, mut chunks) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS);
     let read = async {
@@ -137,6 +161,7 @@
             if to.write_all(&chunk).await.is_err() {
                 return;
             }
+            passed.fetch_add(chunk.len() as u64, Ordering::Relaxed);
         }
     };
     unless(read, write).await;
--- /dev/null
+++ b/crates/lab/src/slope_control.rs
@@ -0,0 +1,263 @@
+//! Slopes of control: catalogue entries, peers, hosts, links and changes.
+
+use std::net::TcpStream;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::Service;
+
+use crate::fake_peers::FakePeers;
+use crate::fleet::{Fleet, HostProcess, Plan};
+use crate::slopes::{Series, Slope};
+
+const CATALOGUE_SIZES: [usize; 4] = [300, 1_000, 2_000, 4_000];
+const PEER_SIZES: [usize; 4] = [50, 200, 500, 1_040];
+const HOST_SIZES: [usize; 4] = [3, 6, 12, 24];
+const LINK_SIZES: [usize; 3] = [100, 400, 1_600];
+const CHANGE_SIZES: [usize; 3] = [10, 30, 90];
+
+/// Hosts that take the changes.
+const CHANGE_HOSTS: usize = 6;
+
+/// Targets of a service in a large catalogue.
+const SERVICE_TARGETS: usize = 100;
+
+const SETTLE: Duration = Duration::from_secs(2);
+const IDLE: Duration = Duration::from_secs(5);
+const CHANGE_LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(2);
+
+/// Measures catalogues of several sizes, at one host.
+pub fn catalogue(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for targets in CATALOGUE_SIZES {
+        let mut plan = Plan::group(10, 3, 2);
+        plan.catalogue.services = services(&plan.catalogue.services[0], targets);
+        plan.hosts.truncate(1);
+        plan.stand_ins = false;
+        let fleet = Fleet::launch(program, plan);
+        fleet.hosts[0].await_answer("healthz");
+        thread::sleep(SETTLE);
+        let before = fleet.hosts[0].memory();
+        let start = fleet.hosts[0].cpu();
+        fleet.apply(program);
+        fleet.await_ready();
+        thread::sleep(SETTLE);
+        let adopt = fleet.hosts[0].cpu() - start;
+        let text = serde_json::to_string(&fleet.catalogue).unwrap();
+        series.add(
+            targets as f64,
+            &[
+                ("memory by catalogue", "KB", fleet.hosts[0].memory() as f64 - before as f64),
+                ("CPU of one change by catalogue", "ms", adopt.as_secs_f64() * 1e3),
+                ("catalogue as JSON", "KB", text.len() as f64 / 1024.0),
+                ("idle CPU by catalogue", "% of a core", idle(&fleet.hosts[0])),
+            ],
+        );
+    }
+    series.fit("target in the catalogue")
+}
+
+/// Services that together have so many targets, which nobody asks.
+fn services(template: &Service, targets: usize) -> Vec<Service> {
+    let shards = u32::try_from(SERVICE_TARGETS).unwrap();
+    let service = |i: usize| {
+        let mut service = template.clone();
+        service.name = format!("service-{i}").into();
+        let shard = |j: u32| {
+            let mut shard = template.shards[0].clone();
+            shard.name = j.to_string().into();
+            shard.span = crate::fleet::span(j, shards);
+            shard.targets.truncate(1);
+            shard.targets[0].name = format!("target-{i}-{j}").into();
+            shard
+        };
+        service.shards = (0..shards).map(shard).collect();
+        service
+    };
+    (0..targets / SERVICE_TARGETS).map(service).collect()
+}
+
+/// Measures one host among several numbers of peers.
+pub fn peers(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for count in PEER_SIZES {
+        let mut plan = Plan::group(10, 3, 2);
+        plan.hosts.truncate(1);
+        let fleet = Fleet::launch(program, plan);
+        let host = &fleet.hosts[0];
+        let fake = FakePeers::start(count, &host.data_centre);
+        let mut entries = fake.entries().to_vec();
+        entries.push(host.entry());
+        fleet.store.set_hosts(entries);
+        fleet.apply(program);
+        fleet.await_ready();
+        thread::sleep(SETTLE);
+        fleet.store.reset_calls();
+        let before = fake.counts();
+        let start = Instant::now();
+        let cpu = idle(host);
+        let seconds = start.elapsed().as_secs_f64();
+        let [datagrams, received, sent] = fake.counts();
+        let rate = |now: u64, before: u64| (now - before) as f64 / seconds;
+        let calls = fleet.store.calls();
+        series.add(
+            count as f64,
+            &[
+                ("idle CPU by peers", "% of a core", cpu),
+                ("memory by peers", "KB", host.memory() as f64),
+                ("datagrams sent by peers", "/s", rate(datagrams, before[0])),
+                ("bytes sent by peers", "B/s", rate(received, before[1])),
+                ("bytes of acks by peers", "B/s", rate(sent, before[2])),
+                ("store calls of a host by peers", "/s", calls.all_reads() as f64 / seconds),
+                ("bytes from the store by peers", "B/s", calls.bytes_out as f64 / seconds),
+            ],
+        );
+    }
+    series.fit("peer")
+}
+
+/// Measures fleets of several numbers of hosts in one data centre.
+pub fn hosts(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for count in HOST_SIZES {
+        let fleet = ready(program, count);
+        fleet.store.reset_calls();
+        let start = Instant::now();
+        let before: Vec<Duration> = fleet.hosts.iter().map(HostProcess::cpu).collect();
+        thread::sleep(IDLE);
+        let seconds = start.elapsed().as_secs_f64();
+        let calls = fleet.store.calls();
+        let cpu: f64 =
+            fleet.hosts.iter().zip(before).map(|(h, b)| share(h.cpu() - b, seconds)).sum();
+        let memory: u64 = fleet.hosts.iter().map(HostProcess::memory).sum();
+        let mean = |sum: f64| sum / count as f64;
+        series.add(
+            count as f64,
+            &[
+                ("store reads of all hosts", "/s", calls.reads as f64 / seconds),
+                ("store watches of all hosts", "/s", calls.watches as f64 / seconds),
+                ("host list reads of all hosts", "/s", calls.hosts as f64 / seconds),
+                ("store writes of all hosts", "/s", calls.writes as f64 / seconds),
+                ("idle CPU of a host by hosts", "% of a core", mean(cpu)),
+                ("memory of a host by hosts", "KB", mean(memory as f64)),
+            ],
+        );
+    }
+    series.fit("host")
+}
+
+/// Measures idle links to one host.
+pub fn links(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for count in LINK_SIZES {
+        let fleet = ready(program, 1);
+        let host = &fleet.hosts[0];
+        let before = host.memory();
+        let open: Vec<_> = (0..count).map(|_| TcpStream::connect(host.hosts).unwrap()).collect();
+        thread::sleep(SETTLE);
+        let grown = host.memory() as f64 - before as f64;
+        let cpu = idle(host);
+        drop(open);
+        series.add(
+            count as f64,
+            &[("memory by links", "KB", grown), ("idle CPU by links", "% of a core", cpu)],
+        );
+    }
+    series.fit("link")
+}
+
+/// Measures several numbers of changes, one after the other.
+pub fn changes(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for count in CHANGE_SIZES {
+        let mut fleet = ready(program, CHANGE_HOSTS);
+        fleet.store.reset_calls();
+        let before: Vec<Duration> = fleet.hosts.iter().map(HostProcess::cpu).collect();
+        let start = Instant::now();
+        let mut times = Vec::new();
+        for i in 0..count {
+            fleet.catalogue.services[0].limits.concurrency = 64 + (i as u32 % 2);
+            let start = Instant::now();
+            let version = apply(&fleet, i);
+            while !fleet.hosts.iter().all(|h| version_of(h) >= version) {
+                assert!(start.elapsed() < CHANGE_LIMIT, "change {i} does not reach every host");
+                thread::sleep(POLL);
+            }
+            times.push(start.elapsed().as_secs_f64() * 1e3);
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        times.sort_by(f64::total_cmp);
+        let calls = fleet.store.calls();
+        let cpu: Duration = fleet.hosts.iter().zip(before).map(|(h, b)| h.cpu() - b).sum();
+        series.add(
+            count as f64,
+            &[
+                ("time until in force at all hosts, median", "ms", times[count / 2]),
+                ("time until in force at all hosts, longest", "ms", times[count - 1]),
+                ("time of all changes", "s", seconds),
+                (
+                    "CPU of a host, polls of its status included",
+                    "ms",
+                    millis(cpu) / CHANGE_HOSTS as f64,
+                ),
+                ("store writes by changes", "", calls.writes as f64),
+                ("store reads by changes", "", calls.reads as f64),
+                ("store watches by changes", "", calls.watches as f64),
+                ("bytes from the store by changes", "KB", calls.bytes_out as f64 / 1024.0),
+            ],
+        );
+    }
+    series.fit("change")
+}
+
+fn apply(fleet: &Fleet, i: usize) -> u64 {
+    let host = &fleet.hosts[i % fleet.hosts.len()];
+    let response = minreq::put(format!("http://{}/catalogue", host.operators))
+        .with_header("x-change-id", format!("slope-{i}"))
+        .with_body(serde_json::to_string(&fleet.catalogue).unwrap())
+        .with_timeout(10)
+        .send()
+        .unwrap();
+    let text = response.as_str().unwrap();
+    assert_eq!(response.status_code, 200, "{text}");
+    field(text, "version")
+}
+
+fn version_of(host: &HostProcess) -> u64 {
+    let response = minreq::get(format!("http://{}/status", host.operators)).with_timeout(5).send();
+    response.map_or(0, |r| field(r.as_str().unwrap_or_default(), "version"))
+}
+
+fn field(text: &str, name: &str) -> u64 {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    value[name].as_u64().unwrap_or(0)
+}
+
+/// Ready hosts of one data centre with a small catalogue.
+fn ready(program: &Path, count: usize) -> Fleet {
+    let mut plan = Plan::group(10, 3, 2);
+    let centre = plan.hosts[0].clone();
+    plan.hosts = vec![centre; count];
+    let fleet = Fleet::launch(program, plan);
+    fleet.apply(program);
+    fleet.await_ready();
+    thread::sleep(SETTLE);
+    fleet
+}
+
+/// Share of a core that an idle host takes, in percent.
+fn idle(host: &HostProcess) -> f64 {
+    let (start, before) = (Instant::now(), host.cpu());
+    thread::sleep(IDLE);
+    share(host.cpu() - before, start.elapsed().as_secs_f64())
+}
+
+fn share(cpu: Duration, seconds: f64) -> f64 {
+    cpu.as_secs_f64() * 100.0 / seconds
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
