Carry moves on from every host

Cause: moves need an executor that no single host is, shares and verdicts that take effect without the store, and a way for operators to start and see them. Ruled out: laying open moves over the catalogue in the thread that carries them on (a paused thread would leave an undecided move in effect); writing steps on the judging thread (a slow store would delay a verdict). Operators start and see moves at /moves. A new catalogue keeps the moves that are there.

--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -12,9 +12,10 @@
 use sapphirerack_protocol::{Part, Reply, Request, SubQuery, SubReply};
 
 use crate::calls::{Answer, Call, Calls};
-use crate::config::{Config, View};
+use crate::config::View;
 use crate::metrics::{Labels, Metrics};
 use crate::peers::Peers;
+use crate::routing::Routing;
 
 /// Age above which what is known of a shard's snapshots is asked again.
 const HELD_AGE: Duration = Duration::from_secs(1);
@@ -69,7 +70,7 @@
 /// Runs queries.
 pub(crate) struct Gather {
     clock: Arc<dyn Clock>,
-    config: Arc<Config>,
+    routing: Arc<Routing>,
     peers: Arc<Peers>,
     calls: Arc<Calls>,
     metrics: Arc<Metrics>,
@@ -79,18 +80,18 @@
 impl Gather {
     pub(crate) fn new(
         clock: Arc<dyn Clock>,
-        config: Arc<Config>,
+        routing: Arc<Routing>,
         peers: Arc<Peers>,
         calls: Arc<Calls>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self { clock, config, peers, calls, metrics, known: Mutex::default() }
+        Self { clock, routing, peers, calls, metrics, known: Mutex::default() }
     }
 
     /// Runs a query until it is complete or its deadline passes.
     pub(crate) fn search(&self, query: &Query) -> Result<Gathered, Refusal> {
         let start = self.clock.now();
-        let view = self.config.view();
+        let view = self.routing.view();
         if view.version == 0 {
             return Err(Refusal::Unconfigured);
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -18,6 +18,9 @@
 //! - `links`: TCP links between hosts
 //! - `owner`: sub-queries at the targets that this host owns
 //! - `inbox`: hands what other hosts want to the parts of this host
+//! - `routing`: the catalogue that traffic is routed by
+//! - `moves`: carries moves on; `judge`, `news` and `steps` are its parts
+//! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
@@ -35,13 +38,19 @@
 mod gather;
 mod gossip;
 mod inbox;
+mod judge;
 mod links;
 mod metrics;
+mod move_front;
+mod moves;
+mod news;
 mod operators;
 mod owner;
 mod peers;
+mod routing;
 mod serve;
 mod settings;
+mod steps;
 mod versions;
 
 pub use crate::error::{Category, Error, Result};
--- /dev/null
+++ b/crates/host/src/move_front.rs
@@ -0,0 +1,173 @@
+//! Operators' HTTP for moves: start one, list them, show one.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use sapphirerack_catalogue::{Catalogue, Goal, Move, Name, Reason, Stage};
+use sapphirerack_http::{Method, Request, Response};
+use sapphirerack_policy::moves::{self, Effect, Plan, StartError};
+use serde::{Deserialize, Serialize};
+
+use crate::changes::{Changes, Rejection};
+use crate::config::Config;
+use crate::judge::Summary;
+use crate::moves::Moves;
+use crate::operators::refuse;
+use crate::routing::Routing;
+
+/// Path below which moves are found.
+const PATH: &str = "/moves";
+
+/// What an operator asks for.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Order {
+    id: Name,
+    goal: Goal,
+    #[serde(with = "humantime_serde")]
+    within: Duration,
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    id: Name,
+    version: u64,
+}
+
+/// How far a move has come, as this host sees it.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Progress {
+    Pending,
+    Open,
+    Done,
+    Reversed,
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    id: &'a str,
+    owner: &'a str,
+    goal: &'a Goal,
+    state: Progress,
+    /// Whether the state is written down; a move that is taken back without the store is not yet.
+    is_final: bool,
+    stage: Option<usize>,
+    stages: &'a [Stage],
+    #[serde(with = "humantime_serde")]
+    start: SystemTime,
+    #[serde(with = "humantime_serde")]
+    deadline: SystemTime,
+    #[serde(with = "humantime_serde")]
+    ended: Option<SystemTime>,
+    reason: Option<Reason>,
+    evidence: Summary,
+}
+
+/// Operators' front of the moves.
+pub(crate) struct MoveFront {
+    pub(crate) config: Arc<Config>,
+    pub(crate) routing: Arc<Routing>,
+    pub(crate) changes: Arc<Changes>,
+    pub(crate) moves: Arc<Moves>,
+}
+
+impl MoveFront {
+    /// Answers a request whose path is one of moves; `None` if it is not.
+    pub(crate) fn route(&self, request: &Request) -> Option<Response> {
+        let rest = request.path.strip_prefix(PATH)?;
+        match (&request.method, rest) {
+            (&Method::POST, "") => Some(self.start(request)),
+            (&Method::GET, "") => Some(self.list()),
+            (&Method::GET, id) => Some(self.show(id.strip_prefix('/')?)),
+            _ => Some(Response::refuse(405, "expected GET or POST", true)),
+        }
+    }
+
+    fn list(&self) -> Response {
+        let view = self.config.view();
+        let all: Vec<Status<'_>> = view.catalogue.moves.iter().map(|m| self.status(m)).collect();
+        Response::json(200, &all)
+    }
+
+    fn show(&self, id: &str) -> Response {
+        match self.config.view().catalogue.find_move(id) {
+            Some(record) => Response::json(200, &self.status(record)),
+            None => Response::refuse(404, "unknown move", true),
+        }
+    }
+
+    fn status<'a>(&self, record: &'a Move) -> Status<'a> {
+        let now = self.routing.now();
+        let effect = moves::effective(record, now, &self.routing.verdicts());
+        let (state, stage, reason) = match effect {
+            Effect::Pending => (Progress::Pending, None, None),
+            Effect::Open(stage, _) => (Progress::Open, Some(stage), None),
+            Effect::Done => (Progress::Done, None, None),
+            Effect::Reversed(reason) => (Progress::Reversed, None, Some(reason)),
+        };
+        Status {
+            id: &record.id,
+            owner: &record.owner,
+            goal: &record.goal,
+            state,
+            is_final: !record.is_open(),
+            stage,
+            stages: &record.stages,
+            start: record.start,
+            deadline: record.deadline,
+            ended: record.ended(),
+            reason,
+            evidence: self.moves.summary(&record.id),
+        }
+    }
+
+    fn start(&self, request: &Request) -> Response {
+        let Some(owner) = request.header("x-member").map(Name::from) else {
+            return Response::refuse(401, "x-member: expected the name of a member", true);
+        };
+        let order: Order = match serde_json::from_slice(&request.body) {
+            Ok(order) => order,
+            Err(e) => return Response::refuse(400, &e.to_string(), true),
+        };
+        let id = order.id.clone();
+        let change = Name::from(format!("move-{id}"));
+        let plan = Plan { id: order.id, owner, goal: order.goal, within: order.within };
+        match self.changes.apply(change, |catalogue| self.edit(catalogue, &plan)) {
+            Ok(version) => Response::json(200, &Accepted { id, version }),
+            Err(e) => refuse(&e),
+        }
+    }
+
+    /// The catalogue with the move started; a repeated order changes nothing.
+    fn edit(&self, catalogue: &Catalogue, plan: &Plan) -> Result<Catalogue, Rejection> {
+        if catalogue.find_move(&plan.id).is_some_and(|m| m.goal == plan.goal) {
+            return Ok(catalogue.clone());
+        }
+        check_owner(catalogue, plan)?;
+        moves::start(catalogue, plan.clone(), self.routing.now()).map_err(|e| match e {
+            StartError::Conflict(_) => Rejection::Conflict(e.to_string()),
+            _ => Rejection::Invalid(e.to_string()),
+        })
+    }
+}
+
+/// Services and targets are moved by their owner alone, data centres by any member.
+fn check_owner(catalogue: &Catalogue, plan: &Plan) -> Result<(), Rejection> {
+    let owner = match &plan.goal {
+        Goal::Drain { .. } | Goal::Restore { .. } => None,
+        Goal::Retire { target } => {
+            let holds = |s: &&sapphirerack_catalogue::Service| {
+                s.shards.iter().flat_map(|s| &s.targets).any(|t| t.name == *target)
+            };
+            catalogue.services.iter().find(holds).map(|s| &s.owner)
+        }
+        Goal::Shift { service, .. } => catalogue.service(service).map(|s| &s.owner),
+    };
+    match owner {
+        Some(owner) if *owner != plan.owner => {
+            Err(Rejection::Invalid(format!("{:?} belongs to {owner:?}", plan.goal.subject())))
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -10,6 +10,7 @@
 use crate::changes::{Changes, Rejection};
 use crate::config::Config;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
 use crate::peers::Peers;
 use crate::{Error, Result};
 
@@ -43,6 +44,7 @@
     peers: Arc<Peers>,
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
+    moves: MoveFront,
 }
 
 impl Operators {
@@ -51,8 +53,9 @@
         peers: Arc<Peers>,
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
+        moves: MoveFront,
     ) -> Self {
-        Self { config, peers, metrics, changes }
+        Self { config, peers, metrics, changes, moves }
     }
 
     /// Serves operators at `address`.
@@ -65,6 +68,9 @@
     }
 
     fn route(&self, request: &Request) -> Response {
+        if let Some(response) = self.moves.route(request) {
+            return response;
+        }
         match (&request.method, request.path.as_str()) {
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
@@ -113,14 +119,18 @@
     }
 
     fn change(&self, id: Name, catalogue: Catalogue) -> Response {
-        match self.changes.apply(id, |_| Ok(catalogue.clone())) {
+        // Moves change through their own requests alone.
+        let edit = |current: &Catalogue| {
+            Ok(Catalogue { moves: current.moves.clone(), ..catalogue.clone() })
+        };
+        match self.changes.apply(id, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
     }
 }
 
-fn refuse(rejection: &Rejection) -> Response {
+pub(crate) fn refuse(rejection: &Rejection) -> Response {
     let (status, not_run) = match rejection {
         Rejection::Invalid(_) => (400, true),
         Rejection::Conflict(_) => (409, true),
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -14,7 +14,7 @@
 use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
-use crate::config::Config;
+use crate::routing::Routing;
 use crate::versions::{Outcome, Versions};
 use crate::{Error, Result};
 
@@ -47,7 +47,7 @@
 /// Runs sub-queries at the targets that this host owns.
 pub(crate) struct Owner {
     clock: Arc<dyn Clock>,
-    config: Arc<Config>,
+    routing: Arc<Routing>,
     calls: Arc<Calls>,
     versions: Arc<Versions>,
     data_centre: Name,
@@ -68,12 +68,12 @@
 impl Owner {
     pub(crate) fn new(
         clock: Arc<dyn Clock>,
-        config: Arc<Config>,
+        routing: Arc<Routing>,
         calls: Arc<Calls>,
         versions: Arc<Versions>,
         data_centre: Name,
     ) -> Self {
-        Self { clock, config, calls, versions, data_centre, groups: Map::default() }
+        Self { clock, routing, calls, versions, data_centre, groups: Map::default() }
     }
 
     /// Takes requests on a thread of its own.
@@ -111,7 +111,7 @@
 
     /// The group of a shard, started on first use and again when its targets change.
     fn group(&mut self, service: &Name, shard: &Name) -> Option<&Group> {
-        let view = self.config.view();
+        let view = self.routing.view();
         let entry = view.catalogue.service(service)?;
         let entry = entry.shards.iter().find(|s| s.name == *shard)?;
         let targets = self.targets(entry);
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -13,9 +13,13 @@
 use crate::gossip::Gossip;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
+use crate::moves::{self, Moves};
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::routing::Routing;
+use crate::steps::Steps;
 use crate::versions::Versions;
 use crate::{Result, Settings, config, inbox, links, peers};
 
@@ -57,7 +61,8 @@
     poller.spawn(inbox::handler(calls.clone(), inbound))?;
     let versions = Arc::new(Versions::default());
     let centre = settings.data_centre.clone();
-    let owner = Owner::new(clock.clone(), config.clone(), calls.clone(), versions, centre);
+    let routing = Routing::new(config.clone(), clock.clone());
+    let owner = Owner::new(clock.clone(), routing.clone(), calls.clone(), versions.clone(), centre);
     let (sender, owned) = flume::unbounded();
     owner.spawn(owned)?;
     Inbox { calls: calls.clone(), owner: sender }.spawn(requests)?;
@@ -69,9 +74,25 @@
     gossip.spawn()?;
 
     let changes = Arc::new(Changes::new(store, config.clone()));
-    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
+    let steps = Steps { changes: changes.clone(), routing: routing.clone() }.spawn()?;
+    let moves = Moves::spawn(moves::Parts {
+        clock: clock.clone(),
+        config: config.clone(),
+        routing: routing.clone(),
+        peers: peers.clone(),
+        versions,
+        gossip,
+        steps,
+    })?;
+    let front = MoveFront {
+        config: config.clone(),
+        routing: routing.clone(),
+        changes: changes.clone(),
+        moves,
+    };
+    let operators = Operators::new(config, peers.clone(), metrics.clone(), changes, front);
     let operators = operators.serve(settings.listen.operators)?;
-    let gather = Gather::new(clock, config, peers, calls, metrics.clone());
+    let gather = Gather::new(clock, routing, peers, calls, metrics.clone());
     let entry = Entry::new(gather, metrics, settings.limits.clone());
     let callers = entry.serve(settings.listen.callers)?;
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
--- a/crates/policy/src/verdicts.rs
+++ b/crates/policy/src/verdicts.rs
@@ -65,6 +65,11 @@
         self.by_move.retain(|id, _| wanted(id));
     }
 
+    /// All verdicts.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Verdict)> {
+        self.by_move.iter()
+    }
+
     /// Number of verdicts.
     pub fn len(&self) -> usize {
         self.by_move.len()
