Keep membership as a state machine with probes and rumours

Cause: hosts took the platform's lagging list for the truth; a killed host stayed an owner.

Change: policy holds the members of a data centre with incarnations, probes and bounded rumours; the clock is passed in.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,18 +17,25 @@
 //!
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `membership`: heartbeats, failure detection and announced leaving
+//! - `roster`, `rumours`, `probes`: what the membership keeps
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
 
 mod clock;
 mod coverage;
+mod membership;
+mod probes;
 mod rendezvous;
+mod roster;
 mod route;
+mod rumours;
 mod snapshot;
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::membership::{Membership, Outgoing, Repair, Timing};
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
