Keep membership by heartbeats and the configuration by exchange between hosts

Cause: every host polled the platform's list twice a second (10,400 calls/s at 5,200 hosts; the store reads 2,000/s) and watched the store; the list lags, one 1 MB head held everything, and a host could not start while the store was down. Ruled out: heartbeat tables of all hosts in each datagram (1,040 entries do not fit 1,200 bytes); failure detection between data centres (a cut would count every host dead); one watcher for all (its death delays changes). Change: policy/membership (SWIM: ping in turn, relayed pings, suspicion, incarnations, refutation after an own pause; repair by digests; cut data centres). crates/repository: head and content-addressed parts, changes settled by reading back. Two hosts of a data centre watch, the others are told by datagram and fetch over the links. status?all. Seen while building: a difference between two views of a remote data centre was cleared by any neighbour that was as stale, so views never met again after a cut (test cut_data_centres_go_on_alone_and_merge_without_reviving and views_agree_once_disturbances_end, failing then): differences now name the digest and end only when the own view has it, and repaired views are passed on. Tests: policy/tests/membership.rs (fixed seeds), tests/in_force.rs.

--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -8,13 +8,17 @@
 use sapphirerack_protocol::{Message, Reply, Request};
 
 use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::config::Config;
 use crate::links::{Event, Handler};
 use crate::owner::OwnerRequest;
+use crate::peers::Peers;
 use crate::{Error, Result};
 
 /// The parts that take requests.
 pub(crate) struct Inbox {
     pub calls: Arc<Calls>,
+    pub config: Arc<Config>,
+    pub peers: Arc<Peers>,
     pub owner: flume::Sender<OwnerRequest>,
 }
 
@@ -39,6 +43,16 @@
             Request::Describe { service, shard } => {
                 self.ask_owner(OwnerRequest::Describe { service, shard, reply_to });
             }
+            Request::Peers { data_centre } => {
+                self.calls.reply(reply_to, Reply::Peers(self.peers.view(&data_centre)));
+            }
+            Request::Version => self.calls.reply(reply_to, Reply::Version(self.config.version())),
+            Request::Head { above } => {
+                self.calls.reply(reply_to, Reply::Head(self.config.head_above(above)));
+            }
+            Request::Parts(keys) => {
+                self.calls.reply(reply_to, Reply::Parts(self.config.parts(&keys)));
+            }
             Request::Search(query) => self.ask_owner(OwnerRequest::Search(query, reply_to)),
         }
     }
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -5,27 +5,19 @@
 
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_http::{Method, Request, Response, Server};
+use sapphirerack_repository::Change;
 use serde::Serialize;
 
 use crate::changes::{Changes, Rejection};
 use crate::config::Config;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::status::Reporter;
 use crate::{Error, Result};
 
 /// Largest catalogue that an operator may send, in bytes.
 const CATALOGUE_LIMIT: usize = 1 << 20;
 const CHANGE_HEADER: &str = "x-change-id";
 
-#[derive(Serialize)]
-struct Status<'a> {
-    host: &'a str,
-    data_centre: &'a str,
-    version: u64,
-    ready: bool,
-    live_hosts: usize,
-}
-
 #[derive(Serialize)]
 struct Accepted {
     version: u64,
@@ -40,7 +32,7 @@
 /// Operators' front.
 pub(crate) struct Operators {
     config: Arc<Config>,
-    peers: Arc<Peers>,
+    reporter: Reporter,
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
 }
@@ -48,11 +40,11 @@
 impl Operators {
     pub(crate) fn new(
         config: Arc<Config>,
-        peers: Arc<Peers>,
+        reporter: Reporter,
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
     ) -> Self {
-        Self { config, peers, metrics, changes }
+        Self { config, reporter, metrics, changes }
     }
 
     /// Serves operators at `address`.
@@ -69,7 +61,7 @@
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
             (&Method::GET, "/metrics") => Response::text(200, self.metrics.text()),
-            (&Method::GET, "/status") => self.status(),
+            (&Method::GET, "/status") => self.status(request),
             (&Method::GET, "/catalogue") => self.get(),
             (&Method::PUT, "/catalogue") => self.put(request),
             _ => Response::refuse(404, "unknown path", true),
@@ -83,17 +75,11 @@
         Response::text(200, "ready\n")
     }
 
-    fn status(&self) -> Response {
-        let version = self.config.view().version;
-        let own = self.peers.own();
-        let status = Status {
-            host: &own.name,
-            data_centre: &own.data_centre,
-            version,
-            ready: version > 0,
-            live_hosts: self.peers.live().len(),
-        };
-        Response::json(200, &status)
+    fn status(&self, request: &Request) -> Response {
+        if request.query == "all" || request.param("all").is_some() {
+            return Response::json(200, &self.reporter.all());
+        }
+        Response::json(200, &self.reporter.own())
     }
 
     fn get(&self) -> Response {
@@ -113,7 +99,8 @@
     }
 
     fn change(&self, id: Name, catalogue: Catalogue) -> Response {
-        match self.changes.apply(id, |_| Ok(catalogue.clone())) {
+        let change = Change { id, member: "".into(), summary: "catalogue".into(), base: None };
+        match self.changes.submit(&change, |_| Ok(catalogue.clone())) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
@@ -123,6 +110,7 @@
 fn refuse(rejection: &Rejection) -> Response {
     let (status, not_run) = match rejection {
         Rejection::Invalid(_) => (400, true),
+        Rejection::Forbidden { .. } => (403, true),
         Rejection::Conflict(_) => (409, true),
         Rejection::Unavailable(_) => (503, true),
         Rejection::Unknown(_) => (504, false),
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -4,11 +4,13 @@
 
 use sapphirerack_http::Server;
 use sapphirerack_platform::Store;
-use sapphirerack_policy::{Clock, SystemClock};
+use sapphirerack_policy::{Clock, SystemClock, Timing};
+use sapphirerack_repository::Repository;
 
 use crate::calls::Calls;
 use crate::changes::Changes;
 use crate::entry::Entry;
+use crate::fetch::Fetcher;
 use crate::gather::Gather;
 use crate::gossip::Gossip;
 use crate::inbox::Inbox;
@@ -16,8 +18,13 @@
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::settings::GossipSettings;
+use crate::status::Reporter;
 use crate::versions::Versions;
-use crate::{Result, Settings, config, inbox, links, peers};
+use crate::{Result, Settings, config, fetch, inbox, links, peers};
+
+/// Fetches that may wait; datagrams name what is missing again and again.
+const FETCH_QUEUE: usize = 16;
 
 /// A running entry host.
 pub struct Host {
@@ -48,7 +55,7 @@
         data_centre: settings.data_centre.clone(),
         address: settings.listen.hosts,
     };
-    let peers = Peers::new(own);
+    let peers = Peers::new(own, clock.clone(), timing(&settings.gossip));
     let store = Store::new(settings.store.address, settings.store.timeout);
 
     let (links, poller) = links::bind(settings.listen.hosts)?;
@@ -60,16 +67,28 @@
     let owner = Owner::new(clock.clone(), config.clone(), calls.clone(), versions, centre);
     let (sender, owned) = flume::unbounded();
     owner.spawn(owned)?;
-    Inbox { calls: calls.clone(), owner: sender }.spawn(requests)?;
+    let inbox =
+        Inbox { calls: calls.clone(), config: config.clone(), peers: peers.clone(), owner: sender };
+    inbox.spawn(requests)?;
 
-    config::follow(config.clone(), store.clone())?;
-    peers::follow(peers.clone(), store.clone())?;
+    let shared = Arc::new(store.clone());
+    let repository = Arc::new(Repository::new(shared, clock.clone(), std::thread::sleep));
+    config::follow(config.clone(), peers.clone(), store.clone(), repository.clone())?;
+    peers::follow(peers.clone(), store, settings.gossip.seeds.clone())?;
 
-    let gossip = Gossip::bind(peers.clone(), config.clone(), settings.gossip.clone())?;
+    let (sender, fetches) = flume::bounded(FETCH_QUEUE);
+    let gossip = Gossip::bind(peers.clone(), config.clone(), settings.gossip.clone(), sender)?;
+    let fetcher = Fetcher::new(calls.clone());
+    let (own, asker) = (config.clone(), fetcher.clone());
+    let fetch = move |peer| config::fetch(&own, &asker, peer);
+    fetch::spawn(fetcher.clone(), peers.clone(), fetches, fetch)?;
+    let spread = gossip.clone();
+    config.listen(move || spread.notify());
     gossip.spawn()?;
 
-    let changes = Arc::new(Changes::new(store, config.clone()));
-    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
+    let changes = Arc::new(Changes::new(repository, config.clone()));
+    let reporter = Reporter { config: config.clone(), peers: peers.clone(), gossip, fetcher };
+    let operators = Operators::new(config.clone(), reporter, metrics.clone(), changes);
     let operators = operators.serve(settings.listen.operators)?;
     let gather = Gather::new(clock, config, peers, calls, metrics.clone());
     let entry = Entry::new(gather, metrics, settings.limits.clone());
@@ -77,3 +96,7 @@
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
     Ok(Host { _callers: callers, _operators: operators })
 }
+
+fn timing(settings: &GossipSettings) -> Timing {
+    Timing { interval: settings.interval, ..Timing::default() }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,19 +19,29 @@
 //! - `coverage`: which partitions an answer holds
 //! - `membership`: heartbeats, failure detection and announced leaving
 //! - `roster`, `rumours`, `probes`: what the membership keeps
+//! - `evidence`: evidence for and against a new version, from one host and from many
+//! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
+//! - `start`: whether a move may start, and its stages
+//! - `verdict`: sequential comparison of a new version with the old one
+//! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod clock;
 mod coverage;
+pub mod evidence;
 mod membership;
+pub mod moves;
 mod probes;
 mod rendezvous;
 mod roster;
 mod route;
 mod rumours;
 mod snapshot;
+mod start;
+pub mod verdict;
+mod verdicts;
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
@@ -39,3 +49,4 @@
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
+pub use crate::verdicts::{Verdict, Verdicts};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,7 +3,7 @@
 use sapphirerack_catalogue::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{SubQuery, SubReply};
+use crate::{Peer, SubQuery, SubReply};
 
 /// What a host asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,20 @@
         /// Shard that is asked.
         shard: Name,
     },
+    /// Asks for a host's view of the hosts of a data centre.
+    Peers {
+        /// The data centre.
+        data_centre: Name,
+    },
+    /// Asks for the version of the configuration in force.
+    Version,
+    /// Asks for the head of the configuration if its version is above the given one.
+    Head {
+        /// Version that the asker has.
+        above: u64,
+    },
+    /// Asks for parts of the configuration by their digests.
+    Parts(Vec<Name>),
     /// Asks an owner to run a sub-query.
     Search(SubQuery),
 }
@@ -28,6 +42,14 @@
     Pong,
     /// Answers [`Request::Describe`]: snapshots that the shard's replicas hold.
     Described(Vec<u64>),
+    /// Answers [`Request::Peers`].
+    Peers(Vec<Peer>),
+    /// Answers [`Request::Version`].
+    Version(u64),
+    /// Answers [`Request::Head`]: the head as JSON; `None` if there is no higher version.
+    Head(Option<Vec<u8>>),
+    /// Answers [`Request::Parts`]: the first of them that fit, as JSON.
+    Parts(Vec<Vec<u8>>),
     /// Answers [`Request::Search`].
     Found(SubReply),
 }
--- /dev/null
+++ b/crates/sapphirerack/tests/in_force.rs
@@ -0,0 +1,114 @@
+//! A configuration comes into force everywhere and stays, whatever happens to hosts and store.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sapphirerack_lab::fleet::{Fleet, HostProcess, Shape};
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn fleet() -> Fleet {
+    let shape = Shape {
+        data_centres: ["munich", "augsburg"].map(Into::into).to_vec(),
+        hosts: 3,
+        shards: 2,
+        slots: 2,
+        service: Duration::from_millis(2),
+        stragglers: 0.0,
+        seed: 1,
+    };
+    let fleet = Fleet::start(Path::new(PROGRAM), &shape);
+    fleet.apply(Path::new(PROGRAM));
+    fleet.await_ready();
+    eventually("all hosts are live", || fleet.hosts.iter().all(|h| live(h) == 6));
+    fleet
+}
+
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < limit, "not in time: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn get(host: &HostProcess, path: &str) -> Value {
+    let url = format!("http://{}/{path}", host.operators);
+    let response = minreq::get(url).with_timeout(3).send();
+    response.ok().and_then(|r| serde_json::from_slice(r.as_bytes()).ok()).unwrap_or_default()
+}
+
+fn version(host: &HostProcess) -> u64 {
+    get(host, "status")["version"].as_u64().unwrap_or(0)
+}
+
+fn live(host: &HostProcess) -> u64 {
+    get(host, "status")["live_hosts"].as_u64().unwrap_or(0)
+}
+
+#[test]
+fn change_reaches_every_host_with_the_store_down() {
+    let fleet = fleet();
+    fleet.apply(Path::new(PROGRAM));
+    fleet.store.update(|f| f.outage = true);
+
+    eventually("version 2 everywhere", || fleet.hosts.iter().all(|h| version(h) == 2));
+}
+
+#[test]
+fn starting_host_gets_the_configuration_from_peers_during_an_outage() {
+    let mut fleet = fleet();
+    fleet.store.update(|f| f.outage = true);
+
+    fleet.hosts[2].restart();
+
+    fleet.hosts[2].await_answer("readyz");
+    assert_eq!(version(&fleet.hosts[2]), 1);
+}
+
+#[test]
+fn frozen_host_catches_up_and_never_falls_back() {
+    let fleet = fleet();
+    fleet.hosts[5].freeze();
+    fleet.apply(Path::new(PROGRAM));
+    eventually("dead host is noticed", || live(&fleet.hosts[0]) == 5);
+    fleet.store.update(|f| f.stale = 1.0);
+
+    fleet.hosts[5].thaw();
+
+    eventually("version 2 on the thawed host", || version(&fleet.hosts[5]) == 2);
+    eventually("it is live again", || live(&fleet.hosts[0]) == 6);
+    assert!(fleet.hosts.iter().all(|h| version(h) == 2), "old values of the store change nothing");
+}
+
+#[test]
+fn change_survives_the_host_that_accepted_it() {
+    let mut fleet = fleet();
+    fleet.apply(Path::new(PROGRAM));
+    fleet.hosts[0].kill();
+
+    let rest = &fleet.hosts[1..];
+    eventually("version 2 on the others", || rest.iter().all(|h| version(h) == 2));
+    eventually("killed host is gone", || rest.iter().all(|h| live(h) == 5));
+}
+
+#[test]
+fn status_tells_where_a_version_is_in_force_and_who_could_not_be_asked() {
+    let fleet = fleet();
+    let before = get(&fleet.hosts[0], "status?all");
+    fleet.hosts[4].freeze();
+
+    let after = get(&fleet.hosts[0], "status?all");
+
+    assert_eq!(before["everywhere"], true);
+    assert_eq!(before["hosts"].as_array().unwrap().len(), 6);
+    assert_eq!(after["everywhere"], false);
+    assert_eq!(after["hosts"].as_array().unwrap().len(), 5);
+    assert_eq!(after["unasked"][0]["host"], fleet.hosts[4].name.as_ref());
+    fleet.hosts[4].thaw();
+}
