--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Datagrams between hosts and the topics they carry.
 //!
-//! Each interval the host pings a peer; ping and ack carry the configuration's version and the
+//! The membership decides who is sent a datagram. Each carries the configuration's version and the
 //! news of the attached topics, as far as they fit. Topics take turns. Urgent news leave at once
 //! to a few peers, which pass them on, so that they reach a large data centre in a few hops; the
 //! exchange at intervals repairs what was lost. What the host sends a second is bounded.
@@ -12,9 +12,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sapphirerack_protocol::{Datagram, Liveness, Peer, Purpose, Topic};
+use sapphirerack_policy::Outgoing;
+use sapphirerack_protocol::{Datagram, Topic};
 
 use crate::config::Config;
+use crate::fetch::Fetch;
 use crate::peers::Peers;
 use crate::settings::GossipSettings;
 use crate::{Error, Result};
@@ -51,6 +53,9 @@
     topics: RwLock<Vec<Attached>>,
     turn: AtomicU64,
     urgent: AtomicBool,
+    fetches: flume::Sender<Fetch>,
+    sent: AtomicU64,
+    received: AtomicU64,
 }
 
 impl Gossip {
@@ -59,6 +64,7 @@
         peers: Arc<Peers>,
         config: Arc<Config>,
         settings: GossipSettings,
+        fetches: flume::Sender<Fetch>,
     ) -> Result<Arc<Self>> {
         let address = peers.own().address;
         let socket = UdpSocket::bind(address)
@@ -71,6 +77,9 @@
             topics: RwLock::default(),
             turn: AtomicU64::new(0),
             urgent: AtomicBool::new(false),
+            fetches,
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
         }))
     }
 
@@ -86,7 +95,6 @@
         self.topics.write().unwrap_or_else(PoisonError::into_inner).push(attached);
     }
 
-    #[allow(dead_code, reason = "called by the moves")]
     /// Sends news to a few peers at once; may be called from `consume` to pass news on.
     pub(crate) fn notify(&self) {
         if !self.urgent.swap(true, Ordering::AcqRel) {
@@ -95,6 +103,11 @@
         }
     }
 
+    /// Bytes sent and received so far.
+    pub(crate) fn bytes(&self) -> (u64, u64) {
+        (self.sent.load(Ordering::Relaxed), self.received.load(Ordering::Relaxed))
+    }
+
     /// Runs the exchange on a thread of its own.
     pub(crate) fn spawn(self: &Arc<Self>) -> Result<()> {
         let gossip = self.clone();
@@ -112,11 +125,15 @@
             let now = Instant::now();
             if now >= next {
                 next = now + self.settings.interval;
-                self.round(1, &mut budget);
+                self.send_all(self.peers.tick(), &mut budget);
+                self.repair();
+            }
+            if self.peers.take_urgent() {
+                self.urgent.store(true, Ordering::Release);
             }
             if now >= urgent && self.urgent.swap(false, Ordering::AcqRel) {
                 urgent = now + URGENT_PAUSE;
-                self.round(self.settings.fanout, &mut budget);
+                self.send_all(self.peers.news(self.settings.fanout), &mut budget);
             }
             let limit = if self.urgent.load(Ordering::Acquire) { next.min(urgent) } else { next };
             let wait = limit.saturating_duration_since(Instant::now());
@@ -126,17 +143,6 @@
         }
     }
 
-    fn round(&self, count: usize, budget: &mut Budget) {
-        let own = self.peers.own();
-        let live = self.peers.live();
-        let mut others: Vec<SocketAddr> =
-            live.iter().filter(|h| h.name != own.name).map(|h| h.address).collect();
-        fastrand::shuffle(&mut others);
-        for peer in others.into_iter().take(count) {
-            self.send(peer, Purpose::Ping(fastrand::u64(..)), budget);
-        }
-    }
-
     fn receive(&self, buffer: &mut [u8], wait: Duration, budget: &mut Budget) -> io::Result<()> {
         self.socket.set_read_timeout(Some(wait.max(Duration::from_millis(1))))?;
         let (len, peer) = match self.socket.recv_from(buffer) {
@@ -153,13 +159,23 @@
                 return Ok(());
             }
         };
+        self.received.fetch_add(len as u64, Ordering::Relaxed);
         self.consume(&datagram);
-        if let Purpose::Ping(seq) = datagram.purpose {
-            self.send(peer, Purpose::Ack(seq), budget);
+        let from = datagram.from.address;
+        if from != self.peers.own().address && datagram.version > self.config.version() {
+            let _ = self.fetches.try_send(Fetch::Configuration(from));
         }
+        self.send_all(self.peers.receive(peer, &datagram), budget);
         Ok(())
     }
 
+    /// Has the view of a data centre fetched if it differs for long.
+    fn repair(&self) {
+        if let Some(repair) = self.peers.repair() {
+            let _ = self.fetches.try_send(Fetch::Peers(repair));
+        }
+    }
+
     fn consume(&self, datagram: &Datagram) {
         let topics = self.topics.read().unwrap_or_else(PoisonError::into_inner);
         for topic in &datagram.topics {
@@ -169,30 +185,21 @@
         }
     }
 
-    fn send(&self, peer: SocketAddr, purpose: Purpose, budget: &mut Budget) {
-        let own = self.peers.own();
-        let from = Peer {
-            name: own.name.clone(),
-            data_centre: own.data_centre.clone(),
-            address: own.address,
-            incarnation: 1,
-            liveness: Liveness::Alive,
-            age: 0,
-        };
-        let mut datagram = Datagram {
-            from,
-            purpose,
-            version: self.config.view().version,
-            peers: Vec::new(),
-            summaries: Vec::new(),
-            topics: Vec::new(),
-        };
+    fn send_all(&self, out: Vec<Outgoing>, budget: &mut Budget) {
+        for Outgoing { to, datagram } in out {
+            self.send(to, datagram, budget);
+        }
+    }
+
+    fn send(&self, peer: SocketAddr, mut datagram: Datagram, budget: &mut Budget) {
+        datagram.version = self.config.version();
         if budget.is_left() {
             self.add_topics(&mut datagram);
         }
         match datagram.encode() {
             Ok(bytes) => {
                 budget.spend(bytes.len());
+                self.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 if let Err(e) = self.socket.send_to(&bytes, peer) {
                     log::debug!("step=send peer={peer} error={e}");
                 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -25,8 +25,10 @@
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
+//! - `fetch`: what other hosts have and this one misses
 //! - `gossip`: datagrams between hosts and the topics they carry
 //! - `operators`: operators' HTTP
+//! - `status`: what operators are told of the hosts
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
 
@@ -35,6 +37,7 @@
 mod config;
 mod entry;
 mod error;
+mod fetch;
 mod gather;
 mod gossip;
 mod inbox;
@@ -50,6 +53,7 @@
 mod routing;
 mod serve;
 mod settings;
+mod status;
 mod steps;
 mod versions;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,8 @@
 //!
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `membership`: heartbeats, failure detection and announced leaving
+//! - `roster`, `rumours`, `probes`: what the membership keeps
 //! - `evidence`: evidence for and against a new version, from one host and from many
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
@@ -29,9 +31,13 @@
 mod clock;
 mod coverage;
 pub mod evidence;
+mod membership;
 pub mod moves;
+mod probes;
 mod rendezvous;
+mod roster;
 mod route;
+mod rumours;
 mod snapshot;
 mod start;
 pub mod verdict;
@@ -39,6 +45,7 @@
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::membership::{Membership, Outgoing, Repair, Timing};
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
--- /dev/null
+++ b/crates/repository/src/store.rs
@@ -0,0 +1,31 @@
+//! The store as an interface.
+
+use sapphirerack_platform::{Result, Store, Value};
+
+/// A key-value store with compare-and-swap.
+pub trait KeyValue: Send + Sync {
+    /// Reads a key; `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or refused.
+    fn get(&self, key: &str) -> Result<Option<Value>>;
+
+    /// Writes a key if its version is `expected`; returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// A conflict if the version is another. If the store did not answer, the write may have
+    /// taken effect, or may yet do so.
+    fn swap(&self, key: &str, expected: u64, bytes: &[u8]) -> Result<u64>;
+}
+
+impl KeyValue for Store {
+    fn get(&self, key: &str) -> Result<Option<Value>> {
+        Store::get(self, key)
+    }
+
+    fn swap(&self, key: &str, expected: u64, bytes: &[u8]) -> Result<u64> {
+        Store::swap(self, key, expected, bytes)
+    }
+}
