Claim bookings in a log of the store before they are dispatched

Cause: a request that must not be repeated had no path. Ruled out: a claim a booking (one write each does not fit a few hundred writes/s), leases (a holder that slept would dispatch after its lease), dispatch by the entry host (a lost grant leaves a claim nobody can close).

The exhaustive model (two owners, two retries, one pause, one fault of each kind in turn) found that a closing overtaken by a later attempt was written again without end; it now counts as closed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,20 +15,33 @@
 //!
 //! # Modules
 //!
+//! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `event`: events and actions of that owner
+//! - `log_copy`: a host's copy of a partition's log
+//! - `ledger`: the owner of one partition of bookings
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
 
+mod booking;
 mod clock;
 mod coverage;
+mod event;
+mod ledger;
+mod log_copy;
 mod rendezvous;
 mod route;
 mod snapshot;
 
+pub use crate::booking::{
+    BodyHash, Ended, KeyId, PARTITIONS, Progress, Record, Runner, Segment, Verdict,
+};
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::event::{Action, Ask, Event, Found, LedgerLimits, Written};
+pub use crate::ledger::Ledger;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
