--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -8,6 +8,9 @@
 
 use crate::{Error, Result};
 
+/// Shortest interval between two rounds of datagrams.
+const GOSSIP_FLOOR: Duration = Duration::from_millis(10);
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +26,9 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// Datagrams between hosts.
+    #[serde(default)]
+    pub gossip: GossipSettings,
     /// Log level: off, error, warn, info, debug or trace.
     #[serde(default = "default_log")]
     pub log: Name,
@@ -59,13 +65,38 @@
     pub requests: usize,
     /// Largest body, in bytes.
     pub body: usize,
-    /// Longest header value that the host reads, in bytes.
+    /// Longest request id, route or key, in bytes.
     pub header: usize,
+    /// Longest timeout that a caller may ask for.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { requests: 128, body: 64 << 10, header: 256 }
+        Self { requests: 128, body: 64 << 10, header: 256, timeout: Duration::from_secs(10) }
+    }
+}
+
+/// Datagrams between hosts; they use the port of `listen.hosts`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GossipSettings {
+    /// Time between two rounds.
+    #[serde(with = "humantime_serde")]
+    pub interval: Duration,
+    /// Hosts of the own data centre that are sent urgent news at once.
+    pub fanout: usize,
+    /// Bytes a second that the host sends at most, heartbeats excepted.
+    pub bytes: u32,
+    /// Hosts to ask when the platform's host list can't be read.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for GossipSettings {
+    fn default() -> Self {
+        let interval = Duration::from_millis(200);
+        Self { interval, fanout: 3, bytes: 8_000, seeds: Vec::new() }
     }
 }
 
@@ -100,6 +131,16 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    if limits.timeout.is_zero() {
+        return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
+    }
+    let gossip = &settings.gossip;
+    if gossip.interval < GOSSIP_FLOOR {
+        return Err(Error::rule("gossip.interval: expected 10ms or more".into()));
+    }
+    if gossip.fanout == 0 || gossip.bytes == 0 {
+        return Err(Error::rule("gossip: fanout or bytes is 0, expected 1 or more".into()));
+    }
     if settings.log.parse::<log::LevelFilter>().is_err() {
         let found = &settings.log;
         return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,19 +21,29 @@
 //! - `event`: events and actions of that owner
 //! - `log_copy`: a host's copy of a partition's log
 //! - `ledger`: the owner of one partition of bookings
+//! - `evidence`: evidence for and against a new version, from one host and from many
+//! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
+//! - `start`: whether a move may start, and its stages
+//! - `verdict`: sequential comparison of a new version with the old one
+//! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod booking;
 mod clock;
 mod coverage;
 mod event;
+pub mod evidence;
 mod ledger;
 mod log_copy;
+pub mod moves;
 mod rendezvous;
 mod route;
 mod snapshot;
+mod start;
+pub mod verdict;
+mod verdicts;
 
 pub use crate::booking::{
     BodyHash, Ended, KeyId, PARTITIONS, Progress, Record, Runner, Segment, Verdict,
@@ -45,3 +55,4 @@
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
+pub use crate::verdicts::{Verdict, Verdicts};
