--- a/crates/policy/src/booking.rs
+++ b/crates/policy/src/booking.rs
@@ -16,6 +16,9 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+pub use crate::event::{Action, Ask, Event, Found, LedgerLimits, Written};
+pub use crate::ledger::Ledger;
+
 /// Logs over which keys are spread; a change needs a move, as it would forget every key.
 pub const PARTITIONS: u32 = 64;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,7 +30,7 @@
 //! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
-mod booking;
+pub mod booking;
 mod clock;
 mod coverage;
 mod event;
@@ -45,13 +45,8 @@
 pub mod verdict;
 mod verdicts;
 
-pub use crate::booking::{
-    BodyHash, Ended, KeyId, PARTITIONS, Progress, Record, Runner, Segment, Verdict,
-};
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
-pub use crate::event::{Action, Ask, Event, Found, LedgerLimits, Written};
-pub use crate::ledger::Ledger;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
--- a/crates/policy/tests/ledger.rs
+++ b/crates/policy/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirerack_policy::{
+use sapphirerack_policy::booking::{
     Action, Ask, BodyHash, Ended, Event, Found, KeyId, Ledger, LedgerLimits, Segment, Verdict,
     Written,
 };
--- a/crates/policy/tests/model/mod.rs
+++ b/crates/policy/tests/model/mod.rs
@@ -8,7 +8,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use sapphirerack_policy::{
+use sapphirerack_policy::booking::{
     Action, Ask, BodyHash, Ended, Event, Found, KeyId, Ledger, LedgerLimits, Progress, Runner,
     Segment, Verdict, Written,
 };
