--- /dev/null
+++ b/crates/host/src/bookings.rs
@@ -0,0 +1,239 @@
+//! Callers' bookings: `POST /book/{service}` and `POST /keys`.
+//!
+//! A booking goes to the owner of its key's partition. If that one gives no verdict in time, the
+//! next-ranked host is asked too, which is safe: whoever comes second finds the first one's claim.
+//!
+//! "Not run" is said only of an attempt that can't run any more. A caller's own key may be in use
+//! elsewhere, so that a booking that was merely not passed on counts as unknown; a retry with the
+//! same key settles it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::Name;
+use sapphirerack_http::{Request, Response};
+use sapphirerack_policy::booking::{KeyId, Runner, Verdict};
+use sapphirerack_policy::{Clock, rank};
+use sapphirerack_protocol::{Booking, Reply, Request as HostRequest};
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::calls::{Call, Calls};
+use crate::config::Config;
+use crate::issued::IssuedKey;
+use crate::peers::Peers;
+use crate::settings::{BookingSettings, RequestLimits};
+use crate::shutdown::Leaving;
+
+const KEY_HEADER: &str = "x-idempotency-key";
+const ATTEMPT_HEADER: &str = "x-attempt";
+const PARTITION_HEADER: &str = "x-partition";
+const TIMEOUT_HEADER: &str = "x-timeout-ms";
+
+/// Hosts that are asked about one booking at most.
+const OWNERS: usize = 3;
+
+/// Time beyond the deadline for which an owner's verdict is waited for.
+const GRACE: Duration = Duration::from_millis(100);
+
+/// Shortest time that a booking may take.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(10);
+
+#[derive(Default, Serialize)]
+struct Body<'a> {
+    outcome: &'static str,
+    not_run: bool,
+    key: &'a str,
+    attempt: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    answer: Option<&'a RawValue>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    repeat: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Key<'a> {
+    key: &'a str,
+}
+
+/// Takes callers' bookings.
+pub(crate) struct Bookings {
+    pub clock: Arc<dyn Clock>,
+    pub config: Arc<Config>,
+    pub peers: Arc<Peers>,
+    pub calls: Arc<Calls>,
+    pub settings: BookingSettings,
+    pub limits: RequestLimits,
+    pub leaving: Arc<Leaving>,
+    pub runner: Runner,
+}
+
+impl Bookings {
+    /// Hands out a key.
+    pub(crate) fn key(&self) -> Response {
+        let key = self.issue().to_string();
+        Response::json(200, &Key { key: &key }).with(KEY_HEADER, key)
+    }
+
+    /// Runs a booking at most once.
+    pub(crate) fn book(&self, request: &Request, service: &str) -> Response {
+        let given = request.header(KEY_HEADER).map(Name::from);
+        let is_given = given.is_some();
+        let key = given.unwrap_or_else(|| self.issue().to_string().into());
+        let booking = match self.read(request, service, &key) {
+            Ok(booking) => booking,
+            Err(error) => return refuse(400, error, &key, 0, !is_given),
+        };
+        let attempt = booking.attempt;
+        let view = self.config.view();
+        let error = match view.catalogue.service(service) {
+            None if view.version == 0 => Some((503, "no configuration yet")),
+            None => Some((404, "unknown service")),
+            Some(_) if self.leaving.is_set() && !is_given => Some((503, "host is leaving")),
+            Some(_) => None,
+        };
+        if let Some((status, error)) = error {
+            return refuse(status, error, &key, attempt, !is_given);
+        }
+        respond(&self.run(booking), &key, attempt)
+    }
+
+    fn issue(&self) -> IssuedKey {
+        let host = self.peers.own().name.clone();
+        let (time, nonce) = (self.clock.unix(), fastrand::u64(..));
+        IssuedKey { runner: self.runner, time, nonce, host }
+    }
+
+    fn read(&self, request: &Request, service: &str, key: &Name) -> Result<Booking, &'static str> {
+        let limit = self.limits.header;
+        if key.is_empty() || key.len() > limit || !key.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err("x-idempotency-key: expected a short key of printable characters");
+        }
+        let attempt = request.header(ATTEMPT_HEADER).map_or(Ok(1), str::parse);
+        let Some(attempt) = attempt.ok().filter(|a| *a > 0) else {
+            return Err("x-attempt: expected a number from 1");
+        };
+        let timeout = match request.header(TIMEOUT_HEADER).map(str::parse) {
+            None => self.settings.timeout,
+            Some(Ok(ms)) => Duration::from_millis(ms),
+            Some(Err(_)) => return Err("x-timeout-ms: expected milliseconds"),
+        };
+        if !(LEAST_TIMEOUT..=self.limits.timeout).contains(&timeout) {
+            return Err("x-timeout-ms: out of the host's limits");
+        }
+        let partition = request.header(PARTITION_HEADER);
+        if partition.is_some_and(|p| p.len() > limit) {
+            return Err("x-partition: too long");
+        }
+        let deadline = self.clock.unix() + timeout;
+        Ok(Booking {
+            service: service.into(),
+            key: key.clone(),
+            attempt,
+            partition: partition.map_or_else(|| key.clone(), Name::from),
+            deadline: u64::try_from(deadline.as_micros()).unwrap_or(u64::MAX),
+            body: request.body.clone(),
+        })
+    }
+
+    /// Asks the partition's owner, and the next-ranked hosts if it is silent.
+    fn run(&self, booking: Booking) -> Verdict {
+        let hosts = self.owners(&booking);
+        let left = Duration::from_micros(booking.deadline).saturating_sub(self.clock.unix());
+        let deadline = self.clock.now() + left + GRACE;
+        let (sender, answers) = flume::unbounded();
+        let mut ids = Vec::new();
+        let mut open = 0;
+        let mut verdict = Verdict::Unknown;
+        for (index, host) in hosts.iter().enumerate() {
+            let request = HostRequest::Book(booking.clone());
+            let call = Call { index, peer: host.address, request };
+            ids.extend(self.calls.send(vec![call], &sender));
+            open += 1;
+            let is_last = index + 1 == hosts.len();
+            let patience = if is_last { deadline } else { self.clock.now() + self.settings.failover };
+            if self.collect(&answers, patience.min(deadline), &mut open, &mut verdict) {
+                break;
+            }
+        }
+        while open > 0 && !is_final(&verdict) && self.clock.now() < deadline {
+            self.collect(&answers, deadline, &mut open, &mut verdict);
+        }
+        self.calls.forget(&ids);
+        verdict
+    }
+
+    /// Waits for verdicts; true once there is a final one.
+    fn collect(
+        &self,
+        answers: &flume::Receiver<crate::calls::Answer>,
+        until: Instant,
+        open: &mut usize,
+        verdict: &mut Verdict,
+    ) -> bool {
+        while *open > 0 {
+            let Ok(answer) = answers.recv_deadline(until) else { return false };
+            *open -= 1;
+            if let Some(Reply::Booked(found)) = answer.reply
+                && *verdict != Verdict::InProgress | is_final(&found)
+            {
+                *verdict = found;
+            }
+            if is_final(verdict) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn owners(&self, booking: &Booking) -> Vec<sapphirerack_policy::Host> {
+        let live = self.peers.live();
+        if let Some(issued) = IssuedKey::parse(&booking.key) {
+            return live.iter().filter(|h| h.name == issued.host).cloned().collect();
+        }
+        let partition = KeyId::new(&booking.service, &booking.key).partition();
+        let name = format!("bookings/{partition}");
+        let ranked = rank(name.as_bytes(), &live, |h| h.name.as_bytes());
+        ranked.into_iter().take(OWNERS).collect()
+    }
+}
+
+fn is_final(verdict: &Verdict) -> bool {
+    !matches!(verdict, Verdict::Unknown | Verdict::InProgress)
+}
+
+fn refuse(status: u16, error: &str, key: &str, attempt: u32, not_run: bool) -> Response {
+    let outcome = if not_run { "not_run" } else { "unknown" };
+    let body = Body { outcome, not_run, key, attempt, error: Some(error), ..Body::default() };
+    Response::json(status, &body).with(KEY_HEADER, key)
+}
+
+fn respond(verdict: &Verdict, key: &str, attempt: u32) -> Response {
+    let body = Body { key, attempt, ..Body::default() };
+    let response = match verdict {
+        Verdict::Answer(answer) => {
+            let answer = serde_json::from_slice::<&RawValue>(answer).ok();
+            Response::json(200, &Body { outcome: "answer", answer, ..body })
+        }
+        Verdict::NotRun { attempt } => {
+            let repeat = Some(format!("same key with {ATTEMPT_HEADER}: {}", attempt + 1));
+            let (outcome, not_run, attempt) = ("not_run", true, *attempt);
+            Response::json(503, &Body { outcome, not_run, attempt, repeat, ..body })
+        }
+        Verdict::InProgress => {
+            let repeat = Some("same key to learn the outcome".to_owned());
+            Response::json(202, &Body { outcome: "in_progress", repeat, ..body })
+        }
+        Verdict::Unknown => {
+            let repeat = Some("same key to learn the outcome".to_owned());
+            Response::json(504, &Body { outcome: "unknown", repeat, ..body })
+        }
+        Verdict::OtherBody => {
+            let error = Some("the key belongs to another request");
+            Response::json(422, &Body { outcome: "other_body", error, ..body })
+        }
+    };
+    response.with(KEY_HEADER, key)
+}
--- /dev/null
+++ b/crates/host/src/claims.rs
@@ -0,0 +1,370 @@
+//! The partitions of bookings that this host owns.
+//!
+//! One thread drives the state machines of all partitions. Keys that this host handed out live in
+//! a partition of their own whose log is in memory and ends with the process. A partition's owner
+//! is only where claims are gathered: two hosts that both act as owner stay safe, as every claim
+//! is a compare-and-swap.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use sapphirerack_catalogue::{Map, Name, SPACE};
+use sapphirerack_policy::booking::{
+    Action, Ask, BodyHash, Ended, Event, Found, KeyId, Ledger, LedgerLimits, PARTITIONS, Runner,
+    Segment, Verdict, Written,
+};
+use sapphirerack_policy::{Clock, Host, owners};
+use sapphirerack_protocol::{Booking, Claimed, Reply, Request};
+
+use crate::calls::{Answer, Call, Calls, ReplyTo};
+use crate::config::Config;
+use crate::issued::IssuedKey;
+use crate::peers::Peers;
+use crate::settings::BookingSettings;
+use crate::store_log::{Job, Task};
+use crate::{Error, Result};
+
+/// Partition of the keys that this host handed out.
+pub(crate) const ISSUED: u32 = PARTITIONS;
+
+/// Time that an owner of targets may take to give a sign of life.
+const PING_TIMEOUT: Duration = Duration::from_millis(150);
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time beyond its deadline for which a dispatched booking is waited for.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// What happens to the partitions.
+pub(crate) enum Input {
+    /// A caller asks.
+    Book(Booking, ReplyTo),
+    /// The store answered for a partition.
+    Log(u32, Event),
+    /// A host answered, or the link to it broke.
+    Answer(Answer),
+}
+
+/// What the partitions work with.
+#[derive(Clone)]
+pub(crate) struct Parts {
+    pub clock: Arc<dyn Clock>,
+    pub config: Arc<Config>,
+    pub peers: Arc<Peers>,
+    pub calls: Arc<Calls>,
+    pub settings: BookingSettings,
+    pub runner: Runner,
+    /// Bookings that are not yet settled, counted at every tick.
+    pub open: Arc<AtomicUsize>,
+}
+
+/// A call that waits for its verdict.
+struct Waiting {
+    booking: Booking,
+    reply_to: ReplyTo,
+}
+
+/// A dispatched attempt.
+struct Running {
+    partition: u32,
+    key: KeyId,
+    claimed: Claimed,
+    peer: SocketAddr,
+    others: Vec<Host>,
+    stage: Stage,
+    sent: Vec<u64>,
+}
+
+/// What an owner of targets has been sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// A ping, so that a dead owner costs no booking; given up at the time.
+    Pinged(Duration),
+    /// The booking.
+    Sent,
+}
+
+/// Drives the partitions.
+pub(crate) struct Claims {
+    parts: Parts,
+    jobs: flume::Sender<Job>,
+    answers: flume::Sender<Answer>,
+    ledgers: Map<u32, Ledger>,
+    memory: Map<u64, (u64, Segment)>,
+    waiting: Map<u64, Waiting>,
+    running: Map<usize, Running>,
+    next: u64,
+}
+
+impl Claims {
+    pub(crate) fn new(
+        parts: Parts,
+        jobs: flume::Sender<Job>,
+        answers: flume::Sender<Answer>,
+    ) -> Self {
+        Self {
+            parts,
+            jobs,
+            answers,
+            ledgers: Map::default(),
+            memory: Map::default(),
+            waiting: Map::default(),
+            running: Map::default(),
+            next: 0,
+        }
+    }
+
+    /// Takes inputs on a thread of its own.
+    pub(crate) fn spawn(mut self, inputs: flume::Receiver<Input>) -> Result<()> {
+        let run = move || {
+            let mut tick = self.parts.clock.now() + TICK;
+            loop {
+                match inputs.recv_deadline(tick) {
+                    Ok(input) => self.handle(input),
+                    Err(flume::RecvTimeoutError::Disconnected) => return,
+                    Err(flume::RecvTimeoutError::Timeout) => {}
+                }
+                if self.parts.clock.now() >= tick {
+                    self.tick();
+                    self.parts.open.store(self.open(), Ordering::Relaxed);
+                    tick = self.parts.clock.now() + TICK;
+                }
+            }
+        };
+        let builder = thread::Builder::new().name("bookings".into());
+        builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "bookings", e))
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Book(booking, reply_to) => self.book(booking, reply_to),
+            Input::Log(partition, event) => self.drive(partition, event),
+            Input::Answer(answer) => self.answered(answer),
+        }
+    }
+
+    fn tick(&mut self) {
+        let partitions: Vec<u32> = self.ledgers.keys().copied().collect();
+        for partition in partitions {
+            self.drive(partition, Event::Tick);
+        }
+        let now = self.parts.clock.unix();
+        let over = now.saturating_sub(GRACE);
+        let ids: Vec<usize> = self.running.keys().copied().collect();
+        for id in ids {
+            let Some(running) = self.running.get(&id) else { continue };
+            match running.stage {
+                Stage::Pinged(until) if until <= now => self.retry(id),
+                Stage::Sent if Duration::from_micros(running.claimed.deadline) < over => {
+                    self.end(id, Ended::Unknown);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Bookings that are not yet settled.
+    fn open(&self) -> usize {
+        self.waiting.len() + self.ledgers.values().filter(|l| !l.is_idle()).count()
+    }
+
+    fn book(&mut self, booking: Booking, reply_to: ReplyTo) {
+        let Some(partition) = self.partition(&booking) else {
+            self.parts.calls.reply(reply_to, Reply::Booked(Verdict::Unknown));
+            return;
+        };
+        let call = self.next;
+        self.next += 1;
+        let ask = Ask {
+            call,
+            key: KeyId::new(&booking.service, &booking.key),
+            attempt: booking.attempt,
+            body: BodyHash::new(&booking.partition, &booking.body),
+            deadline: Duration::from_micros(booking.deadline),
+        };
+        self.waiting.insert(call, Waiting { booking, reply_to });
+        self.drive(partition, Event::Ask(ask));
+    }
+
+    /// Partition of a key; `None` if it is of another incarnation or no longer remembered.
+    fn partition(&self, booking: &Booking) -> Option<u32> {
+        let Some(issued) = IssuedKey::parse(&booking.key) else {
+            return Some(KeyId::new(&booking.service, &booking.key).partition());
+        };
+        let is_own = issued.runner == self.parts.runner;
+        let is_fresh = self.parts.clock.unix() < issued.time + self.parts.settings.retention;
+        (is_own && is_fresh).then_some(ISSUED)
+    }
+
+    fn drive(&mut self, partition: u32, event: Event) {
+        let now = self.parts.clock.unix();
+        let ledger = self.ledgers.entry(partition).or_insert_with(|| {
+            Ledger::new(self.parts.runner, limits(&self.parts.settings, partition))
+        });
+        let mut actions: std::collections::VecDeque<Action> = ledger.handle(now, event).into();
+        while let Some(action) = actions.pop_front() {
+            let event = match action {
+                Action::Read(slot) if partition == ISSUED => Some(self.read_memory(slot)),
+                Action::Write { slot, segment, .. } if partition == ISSUED => {
+                    Some(self.write_memory(slot, segment))
+                }
+                Action::Read(slot) => self.store(partition, Task::Read { slot }),
+                Action::Write { slot, expected, segment } => {
+                    self.store(partition, Task::Write { slot, expected, segment })
+                }
+                Action::Dispatch { key, attempt, call, deadline } => {
+                    self.dispatch(partition, key, attempt, call, deadline)
+                }
+                Action::Reply(call, verdict) => self.reply(call, verdict),
+            };
+            if let (Some(event), Some(ledger)) = (event, self.ledgers.get_mut(&partition)) {
+                actions.extend(ledger.handle(now, event));
+            }
+        }
+    }
+
+    fn store(&self, partition: u32, task: Task) -> Option<Event> {
+        // The receivers go away only when the process ends.
+        let _ = self.jobs.send(Job { partition, task });
+        None
+    }
+
+    fn read_memory(&self, slot: u64) -> Event {
+        let found = self.memory.get(&slot).cloned();
+        Event::Read(slot, found.map_or(Found::Missing, |(v, s)| Found::Value(v, s)))
+    }
+
+    fn write_memory(&mut self, slot: u64, segment: Segment) -> Event {
+        let version = self.memory.get(&slot).map_or(0, |(version, _)| *version) + 1;
+        self.memory.insert(slot, (version, segment));
+        Event::Written(Written::Stored(version))
+    }
+
+    /// Sends a claimed attempt to the owner of its targets; the event if that can't be done.
+    fn dispatch(
+        &mut self,
+        partition: u32,
+        key: KeyId,
+        attempt: u32,
+        call: u64,
+        deadline: Duration,
+    ) -> Option<Event> {
+        let waiting = self.waiting.get(&call)?;
+        let Some((shard, others)) = self.route(&waiting.booking) else {
+            return Some(Event::Ended(key, Ended::NotRun));
+        };
+        let Booking { service, key: name, body, .. } = &waiting.booking;
+        let claimed = Claimed {
+            service: service.clone(),
+            shard,
+            key: name.clone(),
+            attempt,
+            deadline: u64::try_from(deadline.as_micros()).unwrap_or(u64::MAX),
+            body: body.clone(),
+        };
+        let id = call as usize;
+        let peer = self.parts.peers.own().address;
+        let stage = Stage::Pinged(Duration::ZERO);
+        let sent = Vec::new();
+        self.running.insert(id, Running { partition, key, claimed, peer, others, stage, sent });
+        if self.ping_next(id) {
+            return None;
+        }
+        self.running.remove(&id);
+        Some(Event::Ended(key, Ended::NotRun))
+    }
+
+    /// Asks the next owner for a sign of life; false if there is none left or no time.
+    fn ping_next(&mut self, id: usize) -> bool {
+        let now = self.parts.clock.unix();
+        let Some(running) = self.running.get_mut(&id) else { return false };
+        let is_over = now >= Duration::from_micros(running.claimed.deadline);
+        if running.others.is_empty() || is_over {
+            return false;
+        }
+        running.peer = running.others.remove(0).address;
+        running.stage = Stage::Pinged(now + PING_TIMEOUT);
+        self.send(id, Request::Ping);
+        true
+    }
+
+    fn send(&mut self, id: usize, request: Request) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let call = Call { index: id, peer: running.peer, request };
+        running.sent.extend(self.parts.calls.send(vec![call], &self.answers));
+    }
+
+    /// Shard of a booking and the owners of its targets.
+    fn route(&self, booking: &Booking) -> Option<(Name, Vec<Host>)> {
+        let view = self.parts.config.view();
+        let service = view.catalogue.service(&booking.service)?;
+        let place = KeyId::new("", &booking.partition).point() % SPACE;
+        let holds = |s: &&sapphirerack_catalogue::Shard| (s.span.start..s.span.end).contains(&place);
+        let shard = service.shards.iter().find(holds)?;
+        let own = &self.parts.peers.own().data_centre;
+        let hosts = owners(&view.catalogue, service, shard, own, &self.parts.peers.live());
+        Some((shard.name.clone(), hosts))
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        let id = answer.index;
+        let Some(running) = self.running.get_mut(&id) else { return };
+        match (running.stage, answer.reply) {
+            (Stage::Pinged(_), Some(Reply::Pong)) => {
+                let is_over =
+                    self.parts.clock.unix() >= Duration::from_micros(running.claimed.deadline);
+                if is_over {
+                    self.end(id, Ended::NotRun);
+                    return;
+                }
+                running.stage = Stage::Sent;
+                let request = Request::Run(running.claimed.clone());
+                self.send(id, request);
+            }
+            // Nothing but a ping was sent, or the owner says that no target has it.
+            (Stage::Pinged(_), None) | (Stage::Sent, Some(Reply::Ran(Ended::NotRun))) => {
+                self.retry(id);
+            }
+            (Stage::Sent, Some(Reply::Ran(ended))) => self.end(id, ended),
+            (Stage::Sent, None) => self.end(id, Ended::Unknown),
+            (Stage::Sent, Some(Reply::Pong)) => {}
+            (_, Some(reply)) => log::warn!("step=book id={id} error=\"unexpected {reply:?}\""),
+        }
+    }
+
+    fn retry(&mut self, id: usize) {
+        if !self.ping_next(id) {
+            self.end(id, Ended::NotRun);
+        }
+    }
+
+    fn end(&mut self, id: usize, ended: Ended) {
+        if let Some(running) = self.running.remove(&id) {
+            log::debug!("step=book key={} ended={ended:?}", running.claimed.key);
+            self.parts.calls.forget(&running.sent);
+            self.drive(running.partition, Event::Ended(running.key, ended));
+        }
+    }
+
+    fn reply(&mut self, call: u64, verdict: Verdict) -> Option<Event> {
+        if let Some(waiting) = self.waiting.remove(&call) {
+            self.parts.calls.reply(waiting.reply_to, Reply::Booked(verdict));
+        }
+        None
+    }
+}
+
+fn limits(settings: &BookingSettings, partition: u32) -> LedgerLimits {
+    let pace = if partition == ISSUED { Duration::ZERO } else { settings.pace };
+    LedgerLimits {
+        slots: settings.slots,
+        segment: settings.segment,
+        retention: settings.retention,
+        pace,
+        pause: settings.pause,
+        open: settings.open,
+    }
+}
--- /dev/null
+++ b/crates/host/src/errand.rs
@@ -0,0 +1,21 @@
+//! A claimed booking at one target.
+
+use std::time::Duration;
+
+use sapphirerack_platform::{Book, TargetClient};
+use sapphirerack_policy::Clock;
+use sapphirerack_policy::booking::Ended;
+use sapphirerack_protocol::Claimed;
+
+/// Sends a claimed booking to a target, unless its deadline has passed.
+pub(crate) fn run(client: &TargetClient, clock: &dyn Clock, claimed: &Claimed) -> Ended {
+    let deadline = Duration::from_micros(claimed.deadline);
+    let timeout = deadline.saturating_sub(clock.unix());
+    if timeout.is_zero() {
+        return Ended::NotRun;
+    }
+    let request = format!("{}.{}", claimed.key, claimed.attempt);
+    let book =
+        Book { request: &request, key: &claimed.key, deadline, timeout, body: &claimed.body };
+    client.book(&book)
+}
--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -8,6 +8,7 @@
 use sapphirerack_protocol::{Message, Reply, Request};
 
 use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::claims::Input;
 use crate::links::{Event, Handler};
 use crate::owner::OwnerRequest;
 use crate::{Error, Result};
@@ -16,6 +17,7 @@
 pub(crate) struct Inbox {
     pub calls: Arc<Calls>,
     pub owner: flume::Sender<OwnerRequest>,
+    pub bookings: flume::Sender<Input>,
 }
 
 impl Inbox {
@@ -40,6 +42,9 @@
                 self.ask_owner(OwnerRequest::Describe { service, shard, reply_to });
             }
             Request::Search(query) => self.ask_owner(OwnerRequest::Search(query, reply_to)),
+            Request::Run(claimed) => self.ask_owner(OwnerRequest::Book(claimed, reply_to)),
+            // The receiver goes away only when the process ends.
+            Request::Book(booking) => drop(self.bookings.send(Input::Book(booking, reply_to))),
         }
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,12 @@
 //! - `gather`: one query, scattered and gathered
 //! - `calls`: requests to other hosts and their replies
 //! - `links`: TCP links between hosts
+//! - `bookings`: callers' requests that run at most once
+//! - `claims`: the partitions of bookings that this host owns
+//! - `store_log`: the partitions' logs in the store
+//! - `issued`: idempotency keys that a host hands out
+//! - `errand`: a claimed booking at one target
+//! - `shutdown`: planned stops
 //! - `owner`: sub-queries at the targets that this host owns
 //! - `inbox`: hands what other hosts want to the parts of this host
 //! - `versions`: traffic shares and evidence of back-end versions
@@ -27,14 +33,18 @@
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
 
+mod bookings;
 mod calls;
 mod changes;
+mod claims;
 mod config;
 mod entry;
+mod errand;
 mod error;
 mod gather;
 mod gossip;
 mod inbox;
+mod issued;
 mod links;
 mod metrics;
 mod operators;
@@ -42,8 +52,10 @@
 mod peers;
 mod serve;
 mod settings;
+mod shutdown;
+mod store_log;
 mod versions;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
-pub use crate::settings::{GossipSettings, Listen, Settings, StoreSettings, from_text};
+pub use crate::settings::{BookingSettings, StopSettings, GossipSettings, Listen, Settings, StoreSettings, from_text};
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -10,11 +10,13 @@
 
 use sapphirerack_catalogue::{Map, Name, Shard, Span, Target, TargetState};
 use sapphirerack_platform::{Found, Search, TargetClient};
+use sapphirerack_policy::booking::Ended;
 use sapphirerack_policy::{Clock, SnapshotId};
-use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
+use sapphirerack_protocol::{Claimed, Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
 use crate::config::Config;
+use crate::errand;
 use crate::versions::{Outcome, Versions};
 use crate::{Error, Result};
 
@@ -27,6 +29,8 @@
     Describe { service: Name, shard: Name, reply_to: ReplyTo },
     /// To run a sub-query.
     Search(SubQuery, ReplyTo),
+    /// To send a claimed booking to one target.
+    Book(Claimed, ReplyTo),
     /// To drop a sub-query whose answer is no longer wanted.
     Cancel(ReplyTo),
 }
@@ -34,10 +38,15 @@
 type Snapshots = Arc<Mutex<BTreeSet<SnapshotId>>>;
 
 struct Job {
-    query: SubQuery,
+    work: Work,
     reply_to: ReplyTo,
 }
 
+enum Work {
+    Search(SubQuery),
+    Book(Claimed),
+}
+
 struct Group {
     targets: Vec<Target>,
     jobs: flume::Sender<Job>,
@@ -96,10 +105,18 @@
             OwnerRequest::Search(query, reply_to) => {
                 match self.group(&query.service.clone(), &query.shard.clone()) {
                     // The workers hold the receiver as long as the group stands.
-                    Some(group) => drop(group.jobs.send(Job { query, reply_to })),
+                    Some(group) => drop(group.jobs.send(Job { work: Work::Search(query), reply_to })),
                     None => self.fail(reply_to, Failure::NotOwner),
                 }
             }
+            OwnerRequest::Book(claimed, reply_to) => {
+                match self.group(&claimed.service.clone(), &claimed.shard.clone()) {
+                    Some(group) => {
+                        drop(group.jobs.send(Job { work: Work::Book(claimed), reply_to }));
+                    }
+                    None => self.calls.reply(reply_to, Reply::Ran(Ended::NotRun)),
+                }
+            }
             OwnerRequest::Cancel(reply_to) => log::debug!("step=cancel reply_to={reply_to:?}"),
         }
     }
@@ -159,10 +176,17 @@
     fn spawn(self) {
         let run = move || {
             while let Ok(job) = self.jobs.recv() {
-                let outcome = self.run(&job.query);
-                let held = snapshots(&self.held);
-                let reply = SubReply { outcome, held, extra: 0 };
-                self.calls.reply(job.reply_to, Reply::Found(reply));
+                let reply = match job.work {
+                    Work::Search(query) => {
+                        let outcome = self.run(&query);
+                        let held = snapshots(&self.held);
+                        Reply::Found(SubReply { outcome, held, extra: 0 })
+                    }
+                    Work::Book(claimed) => {
+                        Reply::Ran(errand::run(&self.client, &*self.clock, &claimed))
+                    }
+                };
+                self.calls.reply(job.reply_to, reply);
             }
         };
         if let Err(e) = thread::Builder::new().name("target".into()).spawn(run) {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -11,6 +11,12 @@
 /// Shortest interval between two rounds of datagrams.
 const GOSSIP_FLOOR: Duration = Duration::from_millis(10);
 
+/// Most values that one partition's log may take.
+const BOOKING_SLOTS: u64 = 1_024;
+
+/// Largest size at which a value of a log counts as full, in bytes; the store holds a megabyte.
+const BOOKING_SEGMENT: usize = 768 << 10;
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -26,6 +32,12 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// Bookings.
+    #[serde(default)]
+    pub bookings: BookingSettings,
+    /// Planned stops.
+    #[serde(default)]
+    pub stop: StopSettings,
     /// Datagrams between hosts.
     #[serde(default)]
     pub gossip: GossipSettings,
@@ -78,6 +90,67 @@
     }
 }
 
+/// Requests that run at most once. `slots`, `segment` and `retention` must be the same on all
+/// hosts.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BookingSettings {
+    /// Time that a booking may take if its caller does not say.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
+    /// Time for which keys are remembered at least; a key that is used again later runs again.
+    #[serde(with = "humantime_serde")]
+    pub retention: Duration,
+    /// Least time between two writes of one partition's log; 64 partitions share the store.
+    #[serde(with = "humantime_serde")]
+    pub pace: Duration,
+    /// Time after which an unanswered call to the store is repeated.
+    #[serde(with = "humantime_serde")]
+    pub pause: Duration,
+    /// Time after which the next-ranked owner of a partition is asked too.
+    #[serde(with = "humantime_serde")]
+    pub failover: Duration,
+    /// Values of the store that hold one partition's log.
+    pub slots: u64,
+    /// Size at which such a value is full, in bytes.
+    pub segment: usize,
+    /// Bookings of one partition in hand at the same time.
+    pub open: usize,
+}
+
+impl Default for BookingSettings {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_secs(5),
+            retention: Duration::from_secs(3_600),
+            pace: Duration::from_millis(200),
+            pause: Duration::from_millis(200),
+            failover: Duration::from_secs(1),
+            slots: 16,
+            segment: 256 << 10,
+            open: 4_096,
+        }
+    }
+}
+
+/// Planned stops.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StopSettings {
+    /// Time for which the host goes on after it has announced that it leaves.
+    #[serde(with = "humantime_serde")]
+    pub linger: Duration,
+    /// Time after which the host ends even if something is left, beyond `linger`.
+    #[serde(with = "humantime_serde")]
+    pub limit: Duration,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self { linger: Duration::from_secs(2), limit: Duration::from_secs(15) }
+    }
+}
+
 /// Datagrams between hosts; they use the port of `listen.hosts`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -134,6 +207,7 @@
     if limits.timeout.is_zero() {
         return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
     }
+    check_bookings(&settings.bookings)?;
     let gossip = &settings.gossip;
     if gossip.interval < GOSSIP_FLOOR {
         return Err(Error::rule("gossip.interval: expected 10ms or more".into()));
@@ -147,3 +221,19 @@
     }
     Ok(())
 }
+
+fn check_bookings(bookings: &BookingSettings) -> Result<()> {
+    if !(2..=BOOKING_SLOTS).contains(&bookings.slots) {
+        return Err(Error::rule(format!("bookings.slots: expected 2 to {BOOKING_SLOTS}")));
+    }
+    if !(1 << 10..=BOOKING_SEGMENT).contains(&bookings.segment) {
+        return Err(Error::rule(format!("bookings.segment: expected 1024 to {BOOKING_SEGMENT}")));
+    }
+    if bookings.timeout.is_zero() || bookings.retention < bookings.timeout {
+        return Err(Error::rule("bookings.retention: expected `timeout` or more".into()));
+    }
+    if bookings.open == 0 {
+        return Err(Error::rule("bookings.open: 0, expected 1 or more".into()));
+    }
+    Ok(())
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,16 +4,19 @@
 //!
 //! # Modules
 //!
+//! - `booking`: bookings at targets
 //! - `store`: the platform's key-value store and its host list
 //! - `target`: searches at targets
 //! - `http`: what both clients share
 //! - `error`: the crate's error
 
+mod booking;
 mod error;
 mod http;
 mod store;
 mod target;
 
+pub use crate::booking::Book;
 pub use crate::error::{Category, Error, Result};
 pub use crate::store::{HostEntry, HostState, Store, Value};
 pub use crate::target::{Found, Health, Search, TargetClient};
--- a/crates/platform/src/target.rs
+++ b/crates/platform/src/target.rs
@@ -72,8 +72,8 @@
 /// Client of one target with kept connections.
 #[derive(Clone, Debug)]
 pub struct TargetClient {
-    agent: Agent,
-    address: Arc<str>,
+    pub(crate) agent: Agent,
+    pub(crate) address: Arc<str>,
 }
 
 impl TargetClient {
@@ -126,7 +126,7 @@
         self.json("read health", http::fetch(self.agent.get(self.url("health")), timeout))
     }
 
-    fn url(&self, path: &str) -> String {
+    pub(crate) fn url(&self, path: &str) -> String {
         format!("http://{}/{path}", self.address)
     }
 
--- a/crates/policy/src/booking.rs
+++ b/crates/policy/src/booking.rs
@@ -39,8 +39,13 @@
 
     /// Partition whose log holds the key.
     pub fn partition(self) -> u32 {
+        self.point() % PARTITIONS
+    }
+
+    /// Uniform point of the hash.
+    pub fn point(self) -> u32 {
         let [a, b, c, d, ..] = self.0;
-        u32::from_le_bytes([a, b, c, d]) % PARTITIONS
+        u32::from_le_bytes([a, b, c, d])
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,18 +14,21 @@
 //!
 //! # Modules
 //!
+//! - `booking`: requests that run at most once
 //! - `message`: envelopes of what hosts say to each other
 //! - `search`: sub-queries and their outcomes
 //! - `gossip`: datagrams at intervals
 //! - `frame`: encoding, and cutting a stream into messages
 //! - `error`: the crate's error
 
+mod booking;
 mod error;
 mod frame;
 mod gossip;
 mod message;
 mod search;
 
+pub use crate::booking::{Booking, Claimed};
 pub use crate::error::{Category, Error, Result};
 pub use crate::frame::{Decoder, FRAME_LIMIT, encode};
 pub use crate::gossip::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose, Summary, Topic};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,9 +1,10 @@
 //! Envelopes of what hosts say to each other.
 
 use sapphirerack_catalogue::Name;
+use sapphirerack_policy::booking::{Ended, Verdict};
 use serde::{Deserialize, Serialize};
 
-use crate::{SubQuery, SubReply};
+use crate::{Booking, Claimed, SubQuery, SubReply};
 
 /// What a host asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,10 @@
     },
     /// Asks an owner to run a sub-query.
     Search(SubQuery),
+    /// Asks the owner of a key's partition to run a booking at most once.
+    Book(Booking),
+    /// Asks an owner to send a claimed booking to one target.
+    Run(Claimed),
 }
 
 /// What a host answers to a [`Request`].
@@ -30,6 +35,10 @@
     Described(Vec<u64>),
     /// Answers [`Request::Search`].
     Found(SubReply),
+    /// Answers [`Request::Book`].
+    Booked(Verdict),
+    /// Answers [`Request::Run`].
+    Ran(Ended),
 }
 
 /// A message on a link between hosts.
