Run bookings at most once through any host

Ruled out: taking a refused connection between hosts for lost work (a ping goes before every claimed booking, so that a dead owner of targets costs none), and calling a booking not run that was merely not passed on (a caller's own key may be in use elsewhere; it counts as unknown, and a retry settles it). Change: POST /book/{service} and /keys; claims driven by the state machine of policy::booking; hosts stop on SIGTERM after a linger.

--- a/crates/host/src/bookings.rs
+++ b/crates/host/src/bookings.rs
@@ -8,10 +8,13 @@
 //! same key settles it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Name;
 use sapphirerack_http::{Request, Response};
+use sapphirerack_platform::Store;
 use sapphirerack_policy::booking::{KeyId, Runner, Verdict};
 use sapphirerack_policy::{Clock, rank};
 use sapphirerack_protocol::{Booking, Reply, Request as HostRequest};
@@ -19,11 +22,13 @@
 use serde_json::value::RawValue;
 
 use crate::calls::{Call, Calls};
-use crate::config::Config;
+use crate::claims::{Claims, Input, Parts};
 use crate::issued::IssuedKey;
 use crate::peers::Peers;
+use crate::routing::Routing;
 use crate::settings::{BookingSettings, RequestLimits};
 use crate::shutdown::Leaving;
+use crate::{Error, Result, store_log};
 
 const KEY_HEADER: &str = "x-idempotency-key";
 const ATTEMPT_HEADER: &str = "x-attempt";
@@ -61,7 +66,7 @@
 /// Takes callers' bookings.
 pub(crate) struct Bookings {
     pub clock: Arc<dyn Clock>,
-    pub config: Arc<Config>,
+    pub routing: Arc<Routing>,
     pub peers: Arc<Peers>,
     pub calls: Arc<Calls>,
     pub settings: BookingSettings,
@@ -71,6 +76,38 @@
 }
 
 impl Bookings {
+    /// Starts the partitions that this host owns; returns where their inputs go.
+    pub(crate) fn spawn_claims(
+        &self,
+        store: &Store,
+        open: Arc<AtomicUsize>,
+    ) -> Result<flume::Sender<Input>> {
+        let (inputs, received) = flume::unbounded();
+        let (jobs, queue) = flume::unbounded();
+        let (answers, answered) = flume::unbounded();
+        store_log::spawn(store, &queue, &inputs)?;
+        let forward = inputs.clone();
+        let run = move || {
+            for answer in answered {
+                // The receiver goes away only when the process ends.
+                let _ = forward.send(Input::Answer(answer));
+            }
+        };
+        let builder = thread::Builder::new().name("booking-answers".into());
+        builder.spawn(run).map_err(|e| Error::io("start thread", "booking-answers", e))?;
+        let parts = Parts {
+            clock: self.clock.clone(),
+            routing: self.routing.clone(),
+            peers: self.peers.clone(),
+            calls: self.calls.clone(),
+            settings: self.settings.clone(),
+            runner: self.runner,
+            open,
+        };
+        Claims::new(parts, jobs, answers).spawn(received)?;
+        Ok(inputs)
+    }
+
     /// Hands out a key.
     pub(crate) fn key(&self) -> Response {
         let key = self.issue().to_string();
@@ -87,7 +124,7 @@
             Err(error) => return refuse(400, error, &key, 0, !is_given),
         };
         let attempt = booking.attempt;
-        let view = self.config.view();
+        let view = self.routing.view();
         let error = match view.catalogue.service(service) {
             None if view.version == 0 => Some((503, "no configuration yet")),
             None => Some((404, "unknown service")),
@@ -106,7 +143,12 @@
         IssuedKey { runner: self.runner, time, nonce, host }
     }
 
-    fn read(&self, request: &Request, service: &str, key: &Name) -> Result<Booking, &'static str> {
+    fn read(
+        &self,
+        request: &Request,
+        service: &str,
+        key: &Name,
+    ) -> std::result::Result<Booking, &'static str> {
         let limit = self.limits.header;
         if key.is_empty() || key.len() > limit || !key.bytes().all(|b| b.is_ascii_graphic()) {
             return Err("x-idempotency-key: expected a short key of printable characters");
@@ -146,23 +188,22 @@
         let (sender, answers) = flume::unbounded();
         let mut ids = Vec::new();
         let mut open = 0;
-        let mut verdict = Verdict::Unknown;
+        let mut verdict = None;
         for (index, host) in hosts.iter().enumerate() {
             let request = HostRequest::Book(booking.clone());
             let call = Call { index, peer: host.address, request };
             ids.extend(self.calls.send(vec![call], &sender));
             open += 1;
             let is_last = index + 1 == hosts.len();
-            let patience = if is_last { deadline } else { self.clock.now() + self.settings.failover };
+            let patience =
+                if is_last { deadline } else { self.clock.now() + self.settings.failover };
             if self.collect(&answers, patience.min(deadline), &mut open, &mut verdict) {
                 break;
             }
         }
-        while open > 0 && !is_final(&verdict) && self.clock.now() < deadline {
-            self.collect(&answers, deadline, &mut open, &mut verdict);
-        }
+        self.collect(&answers, deadline, &mut open, &mut verdict);
         self.calls.forget(&ids);
-        verdict
+        verdict.unwrap_or(Verdict::Unknown)
     }
 
     /// Waits for verdicts; true once there is a final one.
@@ -171,21 +212,17 @@
         answers: &flume::Receiver<crate::calls::Answer>,
         until: Instant,
         open: &mut usize,
-        verdict: &mut Verdict,
+        verdict: &mut Option<Verdict>,
     ) -> bool {
-        while *open > 0 {
+        while *open > 0 && !verdict.as_ref().is_some_and(is_final) {
             let Ok(answer) = answers.recv_deadline(until) else { return false };
             *open -= 1;
-            if let Some(Reply::Booked(found)) = answer.reply
-                && *verdict != Verdict::InProgress | is_final(&found)
-            {
-                *verdict = found;
-            }
-            if is_final(verdict) {
-                return true;
+            if let Some(Reply::Booked(found)) = answer.reply {
+                let is_known = verdict.is_some() && found == Verdict::InProgress;
+                *verdict = if is_known { verdict.take() } else { Some(found) };
             }
         }
-        false
+        verdict.as_ref().is_some_and(is_final)
     }
 
     fn owners(&self, booking: &Booking) -> Vec<sapphirerack_policy::Host> {
--- a/crates/host/src/claims.rs
+++ b/crates/host/src/claims.rs
@@ -20,9 +20,9 @@
 use sapphirerack_protocol::{Booking, Claimed, Reply, Request};
 
 use crate::calls::{Answer, Call, Calls, ReplyTo};
-use crate::config::Config;
 use crate::issued::IssuedKey;
 use crate::peers::Peers;
+use crate::routing::Routing;
 use crate::settings::BookingSettings;
 use crate::store_log::{Job, Task};
 use crate::{Error, Result};
@@ -52,7 +52,7 @@
 #[derive(Clone)]
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
-    pub config: Arc<Config>,
+    pub routing: Arc<Routing>,
     pub peers: Arc<Peers>,
     pub calls: Arc<Calls>,
     pub settings: BookingSettings,
@@ -299,10 +299,11 @@
 
     /// Shard of a booking and the owners of its targets.
     fn route(&self, booking: &Booking) -> Option<(Name, Vec<Host>)> {
-        let view = self.parts.config.view();
+        let view = self.parts.routing.view();
         let service = view.catalogue.service(&booking.service)?;
         let place = KeyId::new("", &booking.partition).point() % SPACE;
-        let holds = |s: &&sapphirerack_catalogue::Shard| (s.span.start..s.span.end).contains(&place);
+        let holds =
+            |s: &&sapphirerack_catalogue::Shard| (s.span.start..s.span.end).contains(&place);
         let shard = service.shards.iter().find(holds)?;
         let own = &self.parts.peers.own().data_centre;
         let hosts = owners(&view.catalogue, service, shard, own, &self.parts.peers.live());
--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -4,6 +4,7 @@
 //! not run, so that none waits unseen.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sapphirerack_catalogue::{Name, Span};
@@ -11,12 +12,16 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use crate::bookings::Bookings;
 use crate::gather::{Gather, Gathered, Query};
 use crate::metrics::Metrics;
 use crate::settings::RequestLimits;
+use crate::shutdown::Leaving;
 use crate::{Error, Result};
 
 const SEARCH_PREFIX: &str = "/search/";
+const BOOK_PREFIX: &str = "/book/";
+const KEYS_PATH: &str = "/keys";
 const REQUEST_HEADER: &str = "x-request-id";
 const TIMEOUT_HEADER: &str = "x-timeout-ms";
 const ROUTE_HEADER: &str = "x-route";
@@ -46,6 +51,8 @@
     gather: Gather,
     metrics: std::sync::Arc<Metrics>,
     limits: RequestLimits,
+    bookings: Bookings,
+    leaving: Arc<Leaving>,
 }
 
 impl Entry {
@@ -53,8 +60,10 @@
         gather: Gather,
         metrics: std::sync::Arc<Metrics>,
         limits: RequestLimits,
+        bookings: Bookings,
+        leaving: Arc<Leaving>,
     ) -> Self {
-        Self { gather, metrics, limits }
+        Self { gather, metrics, limits, bookings, leaving }
     }
 
     /// Serves callers at `address`.
@@ -65,13 +74,30 @@
             body: self.limits.body,
             ..Config::new(address)
         };
-        sapphirerack_http::serve(config, move |request| self.route(&request)).map_err(Error::http)
+        sapphirerack_http::serve(config, move |request| self.answer(&request)).map_err(Error::http)
+    }
+
+    /// A leaving host asks its callers to close their connections.
+    fn answer(&self, request: &Request) -> Response {
+        let response = self.route(request);
+        match self.leaving.is_set() {
+            true => response.with("connection", "close"),
+            false => response,
+        }
     }
 
     fn route(&self, request: &Request) -> Response {
-        match (&request.method, request.path.strip_prefix(SEARCH_PREFIX)) {
-            (&Method::POST, Some(service)) => self.search(request, service),
-            (_, Some(_)) => Response::refuse(405, "expected POST", true),
+        let search = request.path.strip_prefix(SEARCH_PREFIX);
+        let book = request.path.strip_prefix(BOOK_PREFIX);
+        match (&request.method, search, book) {
+            (&Method::POST, Some(_), _) if self.leaving.is_set() => {
+                self.metrics.refused("leaving");
+                Response::refuse(503, "host is leaving", true)
+            }
+            (&Method::POST, Some(service), _) => self.search(request, service),
+            (&Method::POST, _, Some(service)) => self.bookings.book(request, service),
+            (&Method::POST, ..) if request.path == KEYS_PATH => self.bookings.key(),
+            (_, Some(_), _) | (_, _, Some(_)) => Response::refuse(405, "expected POST", true),
             _ => Response::refuse(404, "unknown path", true),
         }
     }
--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -59,9 +59,11 @@
     Box::new(move |event| match event {
         Event::Message { link, message: Message::Request { id, body }, .. } => {
             // The receiver goes away only when the process ends.
+            calls.received(ReplyTo::Link(link, id));
             let _ = inbound.send(Inbound::Request(body, ReplyTo::Link(link, id)));
         }
         Event::Message { link, message: Message::Cancel { id }, .. } => {
+            calls.withdrawn(ReplyTo::Link(link, id));
             let _ = inbound.send(Inbound::Cancel(ReplyTo::Link(link, id)));
         }
         Event::Message { peer: Some(peer), message: Message::Reply { id, body }, .. } => {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,9 @@
 //! - `shutdown`: planned stops
 //! - `owner`: sub-queries at the targets that this host owns
 //! - `inbox`: hands what other hosts want to the parts of this host
+//! - `routing`: the catalogue that traffic is routed by
+//! - `moves`: carries moves on; `judge`, `news` and `steps` are its parts
+//! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
@@ -45,17 +48,25 @@
 mod gossip;
 mod inbox;
 mod issued;
+mod judge;
 mod links;
 mod metrics;
+mod move_front;
+mod moves;
+mod news;
 mod operators;
 mod owner;
 mod peers;
+mod routing;
 mod serve;
 mod settings;
 mod shutdown;
+mod steps;
 mod store_log;
 mod versions;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
-pub use crate::settings::{BookingSettings, StopSettings, GossipSettings, Listen, Settings, StoreSettings, from_text};
+pub use crate::settings::{
+    BookingSettings, GossipSettings, Listen, Settings, StopSettings, StoreSettings, from_text,
+};
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -10,7 +10,9 @@
 use crate::changes::{Changes, Rejection};
 use crate::config::Config;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
 use crate::peers::Peers;
+use crate::shutdown::Leaving;
 use crate::{Error, Result};
 
 /// Largest catalogue that an operator may send, in bytes.
@@ -43,6 +45,8 @@
     peers: Arc<Peers>,
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
+    moves: MoveFront,
+    leaving: Arc<Leaving>,
 }
 
 impl Operators {
@@ -51,8 +55,10 @@
         peers: Arc<Peers>,
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
+        moves: MoveFront,
+        leaving: Arc<Leaving>,
     ) -> Self {
-        Self { config, peers, metrics, changes }
+        Self { config, peers, metrics, changes, moves, leaving }
     }
 
     /// Serves operators at `address`.
@@ -65,6 +71,9 @@
     }
 
     fn route(&self, request: &Request) -> Response {
+        if let Some(response) = self.moves.route(request) {
+            return response;
+        }
         match (&request.method, request.path.as_str()) {
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
@@ -80,6 +89,9 @@
         if self.config.view().version == 0 {
             return Response::text(503, "no configuration yet\n");
         }
+        if self.leaving.is_set() {
+            return Response::text(503, "leaving\n");
+        }
         Response::text(200, "ready\n")
     }
 
@@ -113,14 +125,18 @@
     }
 
     fn change(&self, id: Name, catalogue: Catalogue) -> Response {
-        match self.changes.apply(id, |_| Ok(catalogue.clone())) {
+        // Moves change through their own requests alone.
+        let edit = |current: &Catalogue| {
+            Ok(Catalogue { moves: current.moves.clone(), ..catalogue.clone() })
+        };
+        match self.changes.apply(id, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
     }
 }
 
-fn refuse(rejection: &Rejection) -> Response {
+pub(crate) fn refuse(rejection: &Rejection) -> Response {
     let (status, not_run) = match rejection {
         Rejection::Invalid(_) => (400, true),
         Rejection::Conflict(_) => (409, true),
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -15,8 +15,8 @@
 use sapphirerack_protocol::{Claimed, Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
-use crate::config::Config;
 use crate::errand;
+use crate::routing::Routing;
 use crate::versions::{Outcome, Versions};
 use crate::{Error, Result};
 
@@ -56,7 +56,7 @@
 /// Runs sub-queries at the targets that this host owns.
 pub(crate) struct Owner {
     clock: Arc<dyn Clock>,
-    config: Arc<Config>,
+    routing: Arc<Routing>,
     calls: Arc<Calls>,
     versions: Arc<Versions>,
     data_centre: Name,
@@ -77,12 +77,12 @@
 impl Owner {
     pub(crate) fn new(
         clock: Arc<dyn Clock>,
-        config: Arc<Config>,
+        routing: Arc<Routing>,
         calls: Arc<Calls>,
         versions: Arc<Versions>,
         data_centre: Name,
     ) -> Self {
-        Self { clock, config, calls, versions, data_centre, groups: Map::default() }
+        Self { clock, routing, calls, versions, data_centre, groups: Map::default() }
     }
 
     /// Takes requests on a thread of its own.
@@ -105,7 +105,9 @@
             OwnerRequest::Search(query, reply_to) => {
                 match self.group(&query.service.clone(), &query.shard.clone()) {
                     // The workers hold the receiver as long as the group stands.
-                    Some(group) => drop(group.jobs.send(Job { work: Work::Search(query), reply_to })),
+                    Some(group) => {
+                        drop(group.jobs.send(Job { work: Work::Search(query), reply_to }));
+                    }
                     None => self.fail(reply_to, Failure::NotOwner),
                 }
             }
@@ -128,7 +130,7 @@
 
     /// The group of a shard, started on first use and again when its targets change.
     fn group(&mut self, service: &Name, shard: &Name) -> Option<&Group> {
-        let view = self.config.view();
+        let view = self.routing.view();
         let entry = view.catalogue.service(service)?;
         let entry = entry.shards.iter().find(|s| s.name == *shard)?;
         let targets = self.targets(entry);
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -1,11 +1,14 @@
 //! Starts and joins all parts of a host.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use sapphirerack_http::Server;
 use sapphirerack_platform::Store;
 use sapphirerack_policy::{Clock, SystemClock};
 
+use crate::bookings::Bookings;
 use crate::calls::Calls;
 use crate::changes::Changes;
 use crate::entry::Entry;
@@ -13,24 +16,54 @@
 use crate::gossip::Gossip;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
+use crate::moves::{self, Moves};
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::routing::Routing;
+use crate::settings::StopSettings;
+use crate::shutdown::Leaving;
+use crate::steps::Steps;
 use crate::versions::Versions;
-use crate::{Result, Settings, config, inbox, links, peers};
+use crate::{Result, Settings, config, inbox, links, peers, shutdown};
+
+/// Time that operators' connections have to end when the host stops.
+const OPERATORS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A running entry host.
 pub struct Host {
-    _callers: Server,
-    _operators: Server,
+    callers: Server,
+    operators: Server,
+    leaving: Arc<Leaving>,
+    calls: Arc<Calls>,
+    open: Arc<AtomicUsize>,
+    stop: StopSettings,
 }
 
 impl Host {
-    /// Waits as long as the host runs.
-    pub fn join(self) {
-        loop {
-            std::thread::park();
-        }
+    /// Waits until the host is told to stop, and stops it; true if nothing was cut off.
+    ///
+    /// # Errors
+    ///
+    /// Signals can't be received.
+    pub fn join(self) -> Result<bool> {
+        shutdown::await_signal()?;
+        Ok(self.stop())
+    }
+
+    fn stop(self) -> bool {
+        log::info!("step=stop linger={:?} limit={:?}", self.stop.linger, self.stop.limit);
+        self.leaving.set();
+        std::thread::sleep(self.stop.linger);
+        let limit = Instant::now() + self.stop.limit;
+        let answered = self.callers.stop(self.stop.limit);
+        let is_idle = || self.calls.is_idle() && self.open.load(Ordering::Relaxed) == 0;
+        let finished = shutdown::wait_until(limit, is_idle);
+        let left = limit.saturating_duration_since(Instant::now());
+        self.operators.stop(left.min(OPERATORS_TIMEOUT));
+        log::info!("step=stop answered={answered} finished={finished}");
+        answered && finished
     }
 }
 
@@ -57,10 +90,24 @@
     poller.spawn(inbox::handler(calls.clone(), inbound))?;
     let versions = Arc::new(Versions::default());
     let centre = settings.data_centre.clone();
-    let owner = Owner::new(clock.clone(), config.clone(), calls.clone(), versions, centre);
+    let routing = Routing::new(config.clone(), clock.clone());
+    let owner = Owner::new(clock.clone(), routing.clone(), calls.clone(), versions.clone(), centre);
     let (sender, owned) = flume::unbounded();
     owner.spawn(owned)?;
-    Inbox { calls: calls.clone(), owner: sender }.spawn(requests)?;
+    let leaving = Arc::new(Leaving::default());
+    let open = Arc::new(AtomicUsize::new(0));
+    let bookings = Bookings {
+        clock: clock.clone(),
+        routing: routing.clone(),
+        peers: peers.clone(),
+        calls: calls.clone(),
+        settings: settings.bookings.clone(),
+        limits: settings.limits.clone(),
+        leaving: leaving.clone(),
+        runner: fastrand::u64(..),
+    };
+    let claims = bookings.spawn_claims(&store, open.clone())?;
+    Inbox { calls: calls.clone(), owner: sender, bookings: claims }.spawn(requests)?;
 
     config::follow(config.clone(), store.clone())?;
     peers::follow(peers.clone(), store.clone())?;
@@ -69,11 +116,29 @@
     gossip.spawn()?;
 
     let changes = Arc::new(Changes::new(store, config.clone()));
-    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
+    let steps = Steps { changes: changes.clone(), routing: routing.clone() }.spawn()?;
+    let moves = Moves::spawn(moves::Parts {
+        clock: clock.clone(),
+        config: config.clone(),
+        routing: routing.clone(),
+        peers: peers.clone(),
+        versions,
+        gossip,
+        steps,
+    })?;
+    let front = MoveFront {
+        config: config.clone(),
+        routing: routing.clone(),
+        changes: changes.clone(),
+        moves,
+    };
+    let operators =
+        Operators::new(config, peers.clone(), metrics.clone(), changes, front, leaving.clone());
     let operators = operators.serve(settings.listen.operators)?;
-    let gather = Gather::new(clock, config, peers, calls, metrics.clone());
-    let entry = Entry::new(gather, metrics, settings.limits.clone());
+    let gather = Gather::new(clock, routing, peers, calls.clone(), metrics.clone());
+    let entry = Entry::new(gather, metrics, settings.limits.clone(), bookings, leaving.clone());
     let callers = entry.serve(settings.listen.callers)?;
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
-    Ok(Host { _callers: callers, _operators: operators })
+    let stop = settings.stop.clone();
+    Ok(Host { callers, operators, leaving, calls, open, stop })
 }
--- a/crates/host/src/shutdown.rs
+++ b/crates/host/src/shutdown.rs
@@ -4,6 +4,15 @@
 //! connections, finishes what it has, and ends within a bound.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::{Error, Result};
+
+const WAIT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Whether the host is leaving.
 #[derive(Debug, Default)]
@@ -20,3 +29,22 @@
         self.0.store(true, Ordering::Relaxed);
     }
 }
+
+/// Waits until the process is told to stop.
+pub(crate) fn await_signal() -> Result<()> {
+    let signals = Signals::new([SIGTERM, SIGINT]);
+    let mut signals = signals.map_err(|e| Error::io("wait for signals", "process", e))?;
+    signals.forever().next();
+    Ok(())
+}
+
+/// Waits until `done`, at most until the limit; tells whether it is.
+pub(crate) fn wait_until(limit: Instant, done: impl Fn() -> bool) -> bool {
+    while !done() {
+        if Instant::now() >= limit {
+            return false;
+        }
+        thread::sleep(WAIT_PAUSE);
+    }
+    true
+}
