--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -8,6 +8,7 @@
 use sapphirerack_protocol::{Message, Reply, Request};
 
 use crate::calls::{Calls, Inbound, ReplyTo};
+use crate::claims::Input;
 use crate::config::Config;
 use crate::links::{Event, Handler};
 use crate::owner::OwnerRequest;
@@ -20,6 +21,7 @@
     pub config: Arc<Config>,
     pub peers: Arc<Peers>,
     pub owner: flume::Sender<OwnerRequest>,
+    pub bookings: flume::Sender<Input>,
 }
 
 impl Inbox {
@@ -54,6 +56,9 @@
                 self.calls.reply(reply_to, Reply::Parts(self.config.parts(&keys)));
             }
             Request::Search(query) => self.ask_owner(OwnerRequest::Search(query, reply_to)),
+            Request::Run(claimed) => self.ask_owner(OwnerRequest::Book(claimed, reply_to)),
+            // The receiver goes away only when the process ends.
+            Request::Book(booking) => drop(self.bookings.send(Input::Book(booking, reply_to))),
         }
     }
 
@@ -68,9 +73,11 @@
     Box::new(move |event| match event {
         Event::Message { link, message: Message::Request { id, body }, .. } => {
             // The receiver goes away only when the process ends.
+            calls.received(ReplyTo::Link(link, id));
             let _ = inbound.send(Inbound::Request(body, ReplyTo::Link(link, id)));
         }
         Event::Message { link, message: Message::Cancel { id }, .. } => {
+            calls.withdrawn(ReplyTo::Link(link, id));
             let _ = inbound.send(Inbound::Cancel(ReplyTo::Link(link, id)));
         }
         Event::Message { peer: Some(peer), message: Message::Reply { id, body }, .. } => {
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::move_front::MoveFront;
+use crate::shutdown::Leaving;
 use crate::status::Reporter;
 use crate::{Error, Result};
 
@@ -37,6 +38,7 @@
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
     moves: MoveFront,
+    leaving: Arc<Leaving>,
 }
 
 impl Operators {
@@ -46,8 +48,9 @@
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
         moves: MoveFront,
+        leaving: Arc<Leaving>,
     ) -> Self {
-        Self { config, reporter, metrics, changes, moves }
+        Self { config, reporter, metrics, changes, moves, leaving }
     }
 
     /// Serves operators at `address`.
@@ -78,6 +81,9 @@
         if self.config.view().version == 0 {
             return Response::text(503, "no configuration yet\n");
         }
+        if self.leaving.is_set() {
+            return Response::text(503, "leaving\n");
+        }
         Response::text(200, "ready\n")
     }
 
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -1,12 +1,15 @@
 //! Starts and joins all parts of a host.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use sapphirerack_http::Server;
 use sapphirerack_platform::Store;
 use sapphirerack_policy::{Clock, SystemClock, Timing};
 use sapphirerack_repository::Repository;
 
+use crate::bookings::Bookings;
 use crate::calls::Calls;
 use crate::changes::Changes;
 use crate::entry::Entry;
@@ -21,27 +24,54 @@
 use crate::owner::Owner;
 use crate::peers::Peers;
 use crate::routing::Routing;
-use crate::settings::GossipSettings;
+use crate::settings::{GossipSettings, StopSettings};
+use crate::shutdown::Leaving;
 use crate::status::Reporter;
 use crate::steps::Steps;
 use crate::versions::Versions;
-use crate::{Result, Settings, config, fetch, inbox, links, peers};
+use crate::{Result, Settings, config, fetch, inbox, links, peers, shutdown};
 
 /// Fetches that may wait; datagrams name what is missing again and again.
 const FETCH_QUEUE: usize = 16;
 
+/// Time that operators' connections have to end when the host stops.
+const OPERATORS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A running entry host.
 pub struct Host {
-    _callers: Server,
-    _operators: Server,
+    callers: Server,
+    operators: Server,
+    leaving: Arc<Leaving>,
+    peers: Arc<Peers>,
+    calls: Arc<Calls>,
+    open: Arc<AtomicUsize>,
+    stop: StopSettings,
 }
 
 impl Host {
-    /// Waits as long as the host runs.
-    pub fn join(self) {
-        loop {
-            std::thread::park();
-        }
+    /// Waits until the host is told to stop, and stops it; true if nothing was cut off.
+    ///
+    /// # Errors
+    ///
+    /// Signals can't be received.
+    pub fn join(self) -> Result<bool> {
+        shutdown::await_signal()?;
+        Ok(self.stop())
+    }
+
+    fn stop(self) -> bool {
+        log::info!("step=stop linger={:?} limit={:?}", self.stop.linger, self.stop.limit);
+        self.leaving.set();
+        self.peers.announce_leaving();
+        std::thread::sleep(self.stop.linger);
+        let limit = Instant::now() + self.stop.limit;
+        let answered = self.callers.stop(self.stop.limit);
+        let is_idle = || self.calls.is_idle() && self.open.load(Ordering::Relaxed) == 0;
+        let finished = shutdown::wait_until(limit, is_idle);
+        let left = limit.saturating_duration_since(Instant::now());
+        self.operators.stop(left.min(OPERATORS_TIMEOUT));
+        log::info!("step=stop answered={answered} finished={finished}");
+        answered && finished
     }
 }
 
@@ -72,8 +102,26 @@
     let owner = Owner::new(clock.clone(), routing.clone(), calls.clone(), versions.clone(), centre);
     let (sender, owned) = flume::unbounded();
     owner.spawn(owned)?;
-    let inbox =
-        Inbox { calls: calls.clone(), config: config.clone(), peers: peers.clone(), owner: sender };
+    let leaving = Arc::new(Leaving::default());
+    let open = Arc::new(AtomicUsize::new(0));
+    let bookings = Bookings {
+        clock: clock.clone(),
+        routing: routing.clone(),
+        peers: peers.clone(),
+        calls: calls.clone(),
+        settings: settings.bookings.clone(),
+        limits: settings.limits.clone(),
+        leaving: leaving.clone(),
+        runner: fastrand::u64(..),
+    };
+    let claims = bookings.spawn_claims(&store, open.clone())?;
+    let inbox = Inbox {
+        calls: calls.clone(),
+        config: config.clone(),
+        peers: peers.clone(),
+        owner: sender,
+        bookings: claims,
+    };
     inbox.spawn(requests)?;
 
     let shared = Arc::new(store.clone());
@@ -109,13 +157,15 @@
         moves,
     };
     let reporter = Reporter { config: config.clone(), peers: peers.clone(), gossip, fetcher };
-    let operators = Operators::new(config, reporter, metrics.clone(), changes, front);
+    let operators =
+        Operators::new(config, reporter, metrics.clone(), changes, front, leaving.clone());
     let operators = operators.serve(settings.listen.operators)?;
-    let gather = Gather::new(clock, routing, peers, calls, metrics.clone());
-    let entry = Entry::new(gather, metrics, settings.limits.clone());
+    let gather = Gather::new(clock, routing, peers.clone(), calls.clone(), metrics.clone());
+    let entry = Entry::new(gather, metrics, settings.limits.clone(), bookings, leaving.clone());
     let callers = entry.serve(settings.listen.callers)?;
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
-    Ok(Host { _callers: callers, _operators: operators })
+    let stop = settings.stop.clone();
+    Ok(Host { callers, operators, leaving, peers, calls, open, stop })
 }
 
 fn timing(settings: &GossipSettings) -> Timing {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,10 +15,14 @@
 //!
 //! # Modules
 //!
+//! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
 //! - `membership`: heartbeats, failure detection and announced leaving
 //! - `roster`, `rumours`, `probes`: what the membership keeps
+//! - `event`: events and actions of that owner
+//! - `log_copy`: a host's copy of a partition's log
+//! - `ledger`: the owner of one partition of bookings
 //! - `evidence`: evidence for and against a new version, from one host and from many
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
@@ -28,9 +32,13 @@
 //! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
+pub mod booking;
 mod clock;
 mod coverage;
+mod event;
 pub mod evidence;
+mod ledger;
+mod log_copy;
 mod membership;
 pub mod moves;
 mod probes;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,7 +3,7 @@
 use sapphirerack_catalogue::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{Peer, SubQuery, SubReply};
+use crate::{Booking, Claimed, Ended, Peer, SubQuery, SubReply, Verdict};
 
 /// What a host asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +33,10 @@
     Parts(Vec<Name>),
     /// Asks an owner to run a sub-query.
     Search(SubQuery),
+    /// Asks the owner of a key's partition to run a booking at most once.
+    Book(Booking),
+    /// Asks an owner to send a claimed booking to one target.
+    Run(Claimed),
 }
 
 /// What a host answers to a [`Request`].
@@ -52,6 +56,10 @@
     Parts(Vec<Vec<u8>>),
     /// Answers [`Request::Search`].
     Found(SubReply),
+    /// Answers [`Request::Book`].
+    Booked(Verdict),
+    /// Answers [`Request::Run`].
+    Ran(Ended),
 }
 
 /// A message on a link between hosts.
