--- a/crates/host/src/changes.rs
+++ b/crates/host/src/changes.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use sapphirerack_catalogue::{Catalogue, Name};
-use sapphirerack_repository::{Change, Repository};
+use sapphirerack_repository::{Change, Repository, View};
 
-use crate::config::{Config, View};
+use crate::config::Config;
 
 pub(crate) use sapphirerack_repository::Rejection;
 
--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -107,7 +107,7 @@
             return Err(Rejection::Invalid(format!("change id: expected 1 to {ID_LIMIT} bytes")));
         }
         for _ in 0..EDIT_TRIES {
-            let (stored, head) = self.newest(floor)?;
+            let (stored, head) = self.newest(floor.max(change.base.unwrap_or(0)))?;
             if let Some(version) = head.find(&change.id) {
                 return Ok((version, None));
             }
--- a/crates/repository/src/lib.rs
+++ b/crates/repository/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - `head`: the head and the recent changes that it lists
 //! - `snapshot`: a version of the catalogue, split into parts and put together
+//! - `in_force`: the view that is in force on a host
 //! - `change`: one change, carried out and settled
 //! - `store`: the store as an interface
 //!
@@ -27,12 +28,14 @@
 
 mod change;
 mod head;
+mod in_force;
 mod rejection;
 mod snapshot;
 mod store;
 
 pub use crate::change::{Change, Repository};
 pub use crate::head::{HEAD_KEY, Head, RECENT_CHANGES, Recent, part_key};
+pub use crate::in_force::{InForce, View};
 pub use crate::rejection::Rejection;
 pub use crate::snapshot::{Keys, Part, Snapshot};
 pub use crate::store::KeyValue;
