--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -11,6 +11,7 @@
 use crate::changes::{Changes, Rejection};
 use crate::config::Config;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
 use crate::status::Reporter;
 use crate::{Error, Result};
 
@@ -35,6 +36,7 @@
     reporter: Reporter,
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
+    moves: MoveFront,
 }
 
 impl Operators {
@@ -43,8 +45,9 @@
         reporter: Reporter,
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
+        moves: MoveFront,
     ) -> Self {
-        Self { config, reporter, metrics, changes }
+        Self { config, reporter, metrics, changes, moves }
     }
 
     /// Serves operators at `address`.
@@ -57,6 +60,9 @@
     }
 
     fn route(&self, request: &Request) -> Response {
+        if let Some(response) = self.moves.route(request) {
+            return response;
+        }
         match (&request.method, request.path.as_str()) {
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
@@ -99,15 +105,19 @@
     }
 
     fn change(&self, id: Name, catalogue: Catalogue) -> Response {
+        // Moves change through their own requests alone.
+        let edit = |current: &Catalogue| {
+            Ok(Catalogue { moves: current.moves.clone(), ..catalogue.clone() })
+        };
         let change = Change { id, member: "".into(), summary: "catalogue".into(), base: None };
-        match self.changes.submit(&change, |_| Ok(catalogue.clone())) {
+        match self.changes.submit(&change, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
     }
 }
 
-fn refuse(rejection: &Rejection) -> Response {
+pub(crate) fn refuse(rejection: &Rejection) -> Response {
     let (status, not_run) = match rejection {
         Rejection::Invalid(_) => (400, true),
         Rejection::Forbidden { .. } => (403, true),
--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -16,7 +16,7 @@
 use crate::{KeyValue, Keys, Part, Rejection, Snapshot};
 
 /// Longest id of a change, in bytes.
-const ID_LIMIT: usize = 64;
+const ID_LIMIT: usize = 128;
 
 /// Times that an edit is tried again on a newer catalogue.
 const EDIT_TRIES: usize = 8;
--- a/crates/repository/src/in_force.rs
+++ b/crates/repository/src/in_force.rs
@@ -33,6 +33,16 @@
         }
     }
 
+    /// The view with another catalogue in its place, such as one with moves in effect.
+    pub fn with(&self, catalogue: Catalogue) -> Self {
+        Self {
+            version: self.version,
+            catalogue: Arc::new(catalogue),
+            keys: self.keys.clone(),
+            parts: self.parts.clone(),
+        }
+    }
+
     /// Part with the digest `key`, if it is of this view.
     pub fn part(&self, key: &str) -> Option<Part> {
         self.parts.get(key).cloned()
