--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -16,7 +16,7 @@
 use crate::{KeyValue, Keys, Part, Rejection, Snapshot};
 
 /// Longest id of a change, in bytes.
-const ID_LIMIT: usize = 64;
+const ID_LIMIT: usize = 128;
 
 /// Times that an edit is tried again on a newer catalogue.
 const EDIT_TRIES: usize = 8;
@@ -107,7 +107,7 @@
             return Err(Rejection::Invalid(format!("change id: expected 1 to {ID_LIMIT} bytes")));
         }
         for _ in 0..EDIT_TRIES {
-            let (stored, head) = self.newest(floor)?;
+            let (stored, head) = self.newest(floor.max(change.base.unwrap_or(0)))?;
             if let Some(version) = head.find(&change.id) {
                 return Ok((version, None));
             }
