--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,6 +24,7 @@
 //! - `slopes`: what grows with what
 //! - `slope_search`, `slope_control`: what is measured for it
 //! - `fake_peers`: many peers of one host
+//! - `verdict`: the rule that judges new versions, beside fixed thresholds
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -50,3 +51,4 @@
 mod slots;
 pub mod store;
 pub mod target;
+pub mod verdict;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,13 +9,16 @@
 use getopts::{Matches, Options};
 use sapphirerack_lab::load::{LoadError, LoadFile};
 use sapphirerack_lab::slopes::Slope;
-use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
+use sapphirerack_lab::{
+    demo, experiment, load, report, slope_control, slope_search, slopes, verdict,
+};
 use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
        lab load [--json FILE] LOAD_FILE
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
-       lab slopes [--json FILE] [--only EXPERIMENT]";
+       lab slopes [--json FILE] [--only EXPERIMENT]
+       lab verdict [--json FILE]";
 
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
@@ -61,6 +64,7 @@
         }
         "bench" => measure(&bench(&matches)?, &matches),
         "slopes" => slopes(&matches),
+        "verdict" => judge(&matches),
         other => Err(Error::Usage(format!("unknown command {other:?}"))),
     }
 }
@@ -141,6 +145,12 @@
     Ok(())
 }
 
+/// Measures the rule that judges new versions.
+fn judge(matches: &Matches) -> Result<(), Error> {
+    verdict::run(&mut *Lines::open(matches)?.0);
+    Ok(())
+}
+
 /// Where JSON lines go.
 struct Lines(Box<dyn Write>);
 
