--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use sapphirerack_catalogue::Map;
+use sapphirerack_catalogue::{Map, Set};
 use sapphirerack_protocol::{Message, Reply, Request};
 
 use crate::links::{LinkId, Links};
@@ -55,13 +55,21 @@
     inbound: flume::Sender<Inbound>,
     next: AtomicU64,
     pending: Mutex<Map<u64, Pending>>,
+    in_hand: Mutex<Set<ReplyTo>>,
 }
 
 impl Calls {
     /// Calls over `links`; requests to the address `own` go to `inbound`.
     pub(crate) fn new(own: SocketAddr, links: Links, inbound: flume::Sender<Inbound>) -> Arc<Self> {
         let next = AtomicU64::new(0);
-        Arc::new(Self { own, links, inbound, next, pending: Mutex::default() })
+        Arc::new(Self {
+            own,
+            links,
+            inbound,
+            next,
+            pending: Mutex::default(),
+            in_hand: Mutex::default(),
+        })
     }
 
     /// Sends calls; their answers go to `answers`. Returns the ids, to withdraw them.
@@ -110,8 +118,24 @@
         });
     }
 
+    /// Takes note of a request of another host.
+    pub(crate) fn received(&self, from: ReplyTo) {
+        self.in_hand().insert(from);
+    }
+
+    /// Takes note that another host no longer wants a reply.
+    pub(crate) fn withdrawn(&self, from: ReplyTo) {
+        self.in_hand().remove(&from);
+    }
+
+    /// Whether every request of another host has its reply.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_hand().is_empty()
+    }
+
     /// Sends the reply to a request that this host received.
     pub(crate) fn reply(&self, to: ReplyTo, reply: Reply) {
+        self.in_hand().remove(&to);
         match to {
             ReplyTo::Local(id) => self.resolve(id, self.own, reply),
             ReplyTo::Link(link, id) => self.links.reply(link, &Message::Reply { id, body: reply }),
@@ -125,6 +149,10 @@
         id
     }
 
+    fn in_hand(&self) -> std::sync::MutexGuard<'_, Set<ReplyTo>> {
+        self.in_hand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn pending(&self) -> std::sync::MutexGuard<'_, Map<u64, Pending>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
