Repeat slopes, and measure open moves

Cause: one run of the search slopes on a busy machine (load average 24) gave 800 us a sub-query at the owner and the next 322, so a single run proves nothing. Ruled out: a fault of wide queries over a relay: 100 of 100 queries of 40 shards were whole, with and without relays (trial). Change: `--repeats`: medians of the points, least and greatest slope; complete answers are counted by their true coverage; open moves at 1 to 450.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -15,7 +15,7 @@
 const USAGE: &str = "usage: lab demo
        lab load [--json FILE] LOAD_FILE
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
-       lab slopes [--json FILE] [--only EXPERIMENT]";
+       lab slopes [--json FILE] [--repeats N] [--only EXPERIMENT]";
 
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
@@ -117,22 +117,25 @@
 /// An experiment that measures slopes.
 type Experiment = fn(&Path) -> Vec<Slope>;
 
-const EXPERIMENTS: [(&str, Experiment); 6] = [
+const EXPERIMENTS: [(&str, Experiment); 7] = [
     ("search", slope_search::measure),
     ("catalogue", slope_control::catalogue),
     ("peers", slope_control::peers),
     ("hosts", slope_control::hosts),
     ("links", slope_control::links),
     ("changes", slope_control::changes),
+    ("moves", slope_control::moves),
 ];
 
 fn slopes(matches: &Matches) -> Result<(), Error> {
     let only = matches.opt_strs("only");
+    let repeats = matches.opt_get_default("repeats", 1);
+    let repeats = repeats.map_err(|e| Error::Usage(format!("--repeats: {e}")))?;
     let mut lines = Lines::open(matches)?;
     let mut all = Vec::new();
     for (name, measure) in EXPERIMENTS {
         if only.is_empty() || only.iter().any(|o| o == name) {
-            let measured = measure(&program());
+            let measured = slopes::repeat(repeats, || measure(&program()));
             measured.iter().for_each(|slope| lines.write(slope));
             all.extend(measured);
         }
--- a/crates/lab/src/slope_control.rs
+++ b/crates/lab/src/slope_control.rs
@@ -3,9 +3,9 @@
 use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-use sapphirerack_catalogue::Service;
+use sapphirerack_catalogue::{Goal, Move, MoveState, Name, Service, Stage, Undecided, WHOLE};
 
 use crate::fake_peers::FakePeers;
 use crate::fleet::{Fleet, HostProcess, Plan};
@@ -17,6 +17,13 @@
 const LINK_SIZES: [usize; 3] = [100, 400, 1_600];
 const CHANGE_SIZES: [usize; 3] = [10, 30, 90];
 
+const MOVE_SIZES: [usize; 4] = [1, 50, 150, 450];
+
+/// Targets that the moves choose from.
+const MOVE_TARGETS: usize = 500;
+const MOVE_HOSTS: usize = 3;
+const MOVE_TIME: Duration = Duration::from_secs(3600);
+
 /// Hosts that take the changes.
 const CHANGE_HOSTS: usize = 6;
 
@@ -212,6 +219,56 @@
     series.fit("change")
 }
 
+/// Measures several numbers of open moves: each retires another target and holds its stage.
+pub fn moves(program: &Path) -> Vec<Slope> {
+    let mut series = Series::default();
+    for count in MOVE_SIZES {
+        let mut plan = Plan::group(10, 3, 2);
+        plan.catalogue.services = services(&plan.catalogue.services[0], MOVE_TARGETS);
+        plan.hosts.truncate(MOVE_HOSTS);
+        plan.stand_ins = false;
+        let targets = plan.catalogue.services.iter().flat_map(|s| &s.shards);
+        let names: Vec<Name> = targets.map(|s| s.targets[0].name.clone()).collect();
+        let owner = plan.catalogue.members[0].name.clone();
+        plan.catalogue.moves = names.iter().take(count).map(|n| retire(n, &owner)).collect();
+        let fleet = Fleet::launch(program, plan);
+        fleet.apply(program);
+        fleet.await_ready();
+        thread::sleep(SETTLE);
+        fleet.store.reset_calls();
+        let start = Instant::now();
+        let cpu = idle(&fleet.hosts[0]);
+        let seconds = start.elapsed().as_secs_f64();
+        let calls = fleet.store.calls();
+        let text = serde_json::to_string(&fleet.catalogue).unwrap();
+        series.add(
+            count as f64,
+            &[
+                ("idle CPU by open moves", "% of a core", cpu),
+                ("memory by open moves", "KB", fleet.hosts[0].memory() as f64),
+                ("store writes by open moves", "/s", calls.writes as f64 / seconds),
+                ("catalogue as JSON by moves", "KB", text.len() as f64 / 1024.0),
+            ],
+        );
+    }
+    series.fit("open move")
+}
+
+fn retire(target: &Name, owner: &Name) -> Move {
+    let start = SystemTime::now();
+    Move {
+        id: format!("retire-{target}").into(),
+        owner: owner.clone(),
+        goal: Goal::Retire { target: target.clone() },
+        stages: vec![Stage { share: WHOLE, hosts: WHOLE, hold: MOVE_TIME }],
+        start,
+        deadline: start + MOVE_TIME * 2,
+        undecided: Undecided::Reverse,
+        revision: 1,
+        state: MoveState::Open { stage: 0, since: start },
+    }
+}
+
 fn apply(fleet: &Fleet, i: usize) -> u64 {
     let host = &fleet.hosts[i % fleet.hosts.len()];
     let response = minreq::put(format!("http://{}/catalogue", host.operators))
--- a/crates/lab/src/slope_search.rs
+++ b/crates/lab/src/slope_search.rs
@@ -7,6 +7,7 @@
 
 use sapphirerack_catalogue::Name;
 
+use crate::answer::Answer;
 use crate::client::Pool;
 use crate::driver::{self, Arrivals, Outcome, Tally};
 use crate::fleet::{Fleet, Plan};
@@ -21,6 +22,8 @@
 const SLOTS: u32 = 4;
 const SERVICE_TIME: Duration = Duration::from_millis(5);
 
+const QUERY: &str = "query";
+
 /// Time after which memory of an idle group no longer grows.
 const SETTLE: Duration = Duration::from_millis(500);
 
@@ -60,7 +63,7 @@
                 ("owner, memory by groups", "KB", growth(&fleet, 1, idle[1])),
                 ("entry host, memory by groups", "KB", growth(&fleet, 0, idle[0])),
                 ("owner, threads by groups", "", fleet.hosts[1].threads() as f64),
-                ("answered of queries", "%", all.answered as f64 * 100.0 / queries),
+                ("complete answers", "% of queries", all.good as f64 * 100.0 / queries),
                 ("p50 of a query", "ms", all.quantile_ms(0.5)),
             ],
         );
@@ -88,9 +91,9 @@
 }
 
 async fn ask(pool: Arc<Pool>) -> (usize, Duration, Outcome) {
-    let reply = pool.post("/search/search", &[], b"query".to_vec()).await;
-    let answered = matches!(reply, Ok((200, _)));
-    let outcome = if answered { Outcome::Answered(Default::default()) } else { Outcome::Failed };
+    let reply = pool.post("/search/search", &[], QUERY.into()).await;
+    let answer = reply.ok().and_then(|(_, body)| serde_json::from_slice::<Answer>(&body).ok());
+    let outcome = answer.map_or(Outcome::Failed, |a| Outcome::Answered(a.judge(QUERY)));
     (0, DURATION, outcome)
 }
 
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -19,6 +19,8 @@
     pub intercept: f64,
     /// Growth for each unit of size on the fitted line.
     pub slope: f64,
+    /// Least and greatest slope of the repeats.
+    pub spread: (f64, f64),
 }
 
 impl Slope {
@@ -42,10 +44,41 @@
         let spread: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
         let common: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
         let slope = common / spread;
-        Self { quantity: quantity.into(), unit, per, points, intercept: y - slope * x, slope }
+        Self {
+            quantity: quantity.into(),
+            unit,
+            per,
+            points,
+            intercept: y - slope * x,
+            slope,
+            spread: (slope, slope),
+        }
     }
 }
 
+/// Repeats `measure` and fits the medians of its points.
+pub fn repeat(repeats: usize, measure: impl Fn() -> Vec<Slope>) -> Vec<Slope> {
+    let runs: Vec<Vec<Slope>> = (0..repeats.max(1)).map(|_| measure()).collect();
+    let merge = |i: usize| {
+        let all: Vec<&Slope> = runs.iter().map(|run| &run[i]).collect();
+        let first = all[0];
+        let point = |j: usize| (first.points[j].0, median(all.iter().map(|s| s.points[j].1)));
+        let points = (0..first.points.len()).map(point).collect();
+        let slopes = || all.iter().map(|s| s.slope);
+        let least = slopes().fold(f64::INFINITY, f64::min);
+        let greatest = slopes().fold(f64::NEG_INFINITY, f64::max);
+        let fit = Slope::fit(first.quantity.clone(), first.unit, first.per, points);
+        Slope { spread: (least, greatest), ..fit }
+    };
+    (0..runs[0].len()).map(merge).collect()
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
 /// Points of one quantity.
 struct Quantity {
     name: &'static str,
@@ -76,15 +109,16 @@
 
 /// Table of slopes.
 pub fn table(slopes: &[Slope]) -> String {
-    let mut text = String::from("| quantity | per | at sizes | intercept | slope |\n");
-    text.push_str("|---|---|---|---|---|\n");
+    let mut text =
+        String::from("| quantity | per | at sizes | intercept | slope | least to greatest |\n");
+    text.push_str("|---|---|---|---|---|---|\n");
     for slope in slopes {
         let points = slope.points.iter().map(|(size, value)| format!("{size}: {}", short(*value)));
         let points = points.collect::<Vec<_>>().join(", ");
-        let Slope { quantity, unit, per, intercept, slope, .. } = slope;
-        let (intercept, slope) = (short(*intercept), short(*slope));
-        writeln!(text, "| {quantity}, {unit} | {per} | {points} | {intercept} | {slope} |")
-            .unwrap();
+        let Slope { quantity, unit, per, intercept, slope, spread: (least, most), .. } = slope;
+        let [intercept, slope, least, most] = [intercept, slope, least, most].map(|v| short(*v));
+        let values = format!("{intercept} | {slope} | {least} to {most}");
+        writeln!(text, "| {quantity}, {unit} | {per} | {points} | {values} |").unwrap();
     }
     text
 }
--- a/crates/lab/tests/slopes.rs
+++ b/crates/lab/tests/slopes.rs
@@ -7,7 +7,7 @@
 
 use sapphirerack_lab::fake_peers::FakePeers;
 use sapphirerack_lab::fleet::LOOPBACK;
-use sapphirerack_lab::slopes::{Slope, table};
+use sapphirerack_lab::slopes::{Slope, repeat, table};
 use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose};
 
 #[test]
@@ -18,10 +18,22 @@
 
     assert!((slope.slope - 0.5).abs() < 1e-9, "{slope:?}");
     assert!((slope.intercept - 1.0).abs() < 1e-9, "{slope:?}");
-    let row = "| memory, KB | target | 1: 2.000, 2: 1.000, 3: 3.000 | 1.000 | 0.5000 |";
+    let row = "| memory, KB | target | 1: 2.000, 2: 1.000, 3: 3.000 | 1.000 | 0.5000 | 0.5000 to 0.5000 |";
     assert!(table(&[slope]).contains(row));
 }
 
+#[test]
+fn repeats_give_the_medians_and_the_spread_of_slopes() {
+    let growth = std::cell::RefCell::new(vec![1.0, 9.0, 2.0]);
+
+    let slopes = repeat(3, || {
+        let growth = growth.borrow_mut().pop().unwrap();
+        vec![Slope::fit("memory", "KB", "target", vec![(0.0, 0.0), (1.0, growth)])]
+    });
+
+    assert_eq!((slopes[0].slope, slopes[0].spread), (2.0, (1.0, 9.0)));
+}
+
 #[test]
 fn fake_peers_answer_pings_and_count_bytes() {
     let centre = "leith".into();
