--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,7 +22,7 @@
 //! - `answer`: checks of answers
 //! - `report`: table and JSON lines of runs
 //! - `slopes`: what grows with what
-//! - `slope_search`, `slope_control`: what is measured for it
+//! - `slope_search`, `slope_control`, `slope_bookings`: what is measured for it
 //! - `fake_peers`: many peers of one host
 //! - `demo`: the demonstration of the README
 
@@ -44,6 +44,7 @@
 pub mod relay;
 pub mod report;
 mod server;
+pub mod slope_bookings;
 pub mod slope_control;
 pub mod slope_search;
 pub mod slopes;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,9 @@
 use getopts::{Matches, Options};
 use sapphirerack_lab::load::{LoadError, LoadFile};
 use sapphirerack_lab::slopes::Slope;
-use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
+use sapphirerack_lab::{
+    demo, experiment, load, report, slope_bookings, slope_control, slope_search, slopes,
+};
 use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
@@ -117,7 +119,7 @@
 /// An experiment that measures slopes.
 type Experiment = fn(&Path) -> Vec<Slope>;
 
-const EXPERIMENTS: [(&str, Experiment); 7] = [
+const EXPERIMENTS: [(&str, Experiment); 8] = [
     ("search", slope_search::measure),
     ("catalogue", slope_control::catalogue),
     ("peers", slope_control::peers),
@@ -125,6 +127,7 @@
     ("links", slope_control::links),
     ("changes", slope_control::changes),
     ("moves", slope_control::moves),
+    ("bookings", slope_bookings::measure),
 ];
 
 fn slopes(matches: &Matches) -> Result<(), Error> {
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -204,6 +204,11 @@
         state.values.get(key).map(|v| (v.version, v.bytes.clone()))
     }
 
+    /// Bytes of all values.
+    pub fn stored(&self) -> usize {
+        self.shared.state.lock().unwrap().values.values().map(|v| v.bytes.len()).sum()
+    }
+
     /// Keys that exist.
     pub fn keys(&self) -> Vec<String> {
         self.shared.state.lock().unwrap().values.keys().cloned().collect()
