--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
+//! - `history`: checks histories of concurrent runs
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
 //! - `process`: entry hosts as processes
@@ -37,6 +38,7 @@
 pub mod experiment;
 pub mod fake_peers;
 pub mod fleet;
+pub mod history;
 pub mod load;
 mod network;
 mod plan;
