--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::check::check;
-use crate::{DataCentre, Error, Member, Move, Name, Result, Service, Target};
+use crate::{DataCentre, Error, Member, Move, Name, Proposal, Result, Service, Target};
 
 /// Every entry that operators keep.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     pub services: Vec<Service>,
     /// Moves, open ones and those that ended lately.
     pub moves: Vec<Move>,
+    /// Members that are proposed and not yet approved by all.
+    pub proposals: Vec<Proposal>,
 }
 
 impl Catalogue {
--- a/crates/catalogue/src/check.rs
+++ b/crates/catalogue/src/check.rs
@@ -9,6 +9,7 @@
 /// Checks all rules; stops at the first that is broken.
 pub(crate) fn check(catalogue: &Catalogue) -> Result<()> {
     unique("members", catalogue.members.iter().map(|m| &m.name))?;
+    unique("proposals", catalogue.proposals.iter().map(|p| &p.member.name))?;
     unique("data_centres", catalogue.data_centres.iter().map(|d| &d.name))?;
     unique("services", catalogue.services.iter().map(|s| &s.name))?;
     for (i, service) in catalogue.services.iter().enumerate() {
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -32,6 +32,8 @@
 //!
 //! - `catalogue`: the whole document and its reading
 //! - `member`, `service`, `target`, `data_centre`: its entries
+//! - `proposal`: proposals of new members and their approval
+//! - `rights`: who may change which entry
 //! - `span`: parts of the partition space
 //! - `moves`: planned changes with a deadline
 //! - `check`, `check_moves`: what a catalogue must satisfy
@@ -45,6 +47,8 @@
 mod member;
 mod moves;
 mod name;
+mod proposal;
+mod rights;
 mod service;
 mod span;
 mod target;
@@ -55,6 +59,8 @@
 pub use crate::member::Member;
 pub use crate::moves::{Fault, Goal, Move, MoveState, Reason, Stage, Subject, Undecided, WHOLE};
 pub use crate::name::{Map, Name, Set};
+pub use crate::proposal::{Approval, Proposal, approve, propose};
+pub use crate::rights::{authorize, is_same_hash, key_hash};
 pub use crate::service::{Limits, Service, Shard};
 pub use crate::span::{SPACE, Span};
 pub use crate::target::{Target, TargetState};
--- a/crates/host/src/changes.rs
+++ b/crates/host/src/changes.rs
@@ -5,6 +5,7 @@
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_repository::{Change, Repository, View};
 
+use crate::claim::Claim;
 use crate::config::Config;
 
 pub(crate) use sapphirerack_repository::Rejection;
@@ -29,11 +30,26 @@
         edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
     ) -> Result<u64, Rejection> {
         let change = Change { id, member: "".into(), summary: "moves".into(), base: None };
-        self.submit(&change, edit)
+        self.carry_out(&change, edit)
     }
 
-    /// Applies `edit` to the newest catalogue as `change`; returns the accepted version.
+    /// Applies `edit` to the newest catalogue as `change` of a member that proves itself; returns
+    /// the accepted version. The edit must check the claim against the catalogue that it is given.
     pub(crate) fn submit(
+        &self,
+        change: &Change,
+        claim: &Claim,
+        edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
+    ) -> Result<u64, Rejection> {
+        let view = self.config.view();
+        if view.version > 0 {
+            // A repeated change is not edited again, yet its member must prove itself.
+            claim.check(&view.catalogue)?;
+        }
+        self.carry_out(change, edit)
+    }
+
+    fn carry_out(
         &self,
         change: &Change,
         edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,6 +23,8 @@
 //! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
+//! - `claim`: which member a request comes from
+//! - `member_front`: operators' HTTP for members
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
 //! - `fetch`: what other hosts have and this one misses
@@ -34,6 +36,7 @@
 
 mod calls;
 mod changes;
+mod claim;
 mod config;
 mod entry;
 mod error;
@@ -43,6 +46,7 @@
 mod inbox;
 mod judge;
 mod links;
+mod member_front;
 mod metrics;
 mod move_front;
 mod moves;
--- a/crates/host/src/move_front.rs
+++ b/crates/host/src/move_front.rs
@@ -6,9 +6,11 @@
 use sapphirerack_catalogue::{Catalogue, Goal, Move, Name, Reason, Stage};
 use sapphirerack_http::{Method, Request, Response};
 use sapphirerack_policy::moves::{self, Effect, Plan, StartError};
+use sapphirerack_repository::{Change, change_id};
 use serde::{Deserialize, Serialize};
 
 use crate::changes::{Changes, Rejection};
+use crate::claim::Claim;
 use crate::config::Config;
 use crate::judge::Summary;
 use crate::moves::Moves;
@@ -70,6 +72,8 @@
     pub(crate) routing: Arc<Routing>,
     pub(crate) changes: Arc<Changes>,
     pub(crate) moves: Arc<Moves>,
+    /// SHA-256 of the key that founds an empty catalogue.
+    pub(crate) founding: Option<Name>,
 }
 
 impl MoveFront {
@@ -123,17 +127,28 @@
     }
 
     fn start(&self, request: &Request) -> Response {
-        let Some(owner) = request.header("x-member").map(Name::from) else {
-            return Response::refuse(401, "x-member: expected the name of a member", true);
+        let claim = match Claim::read(request, self.founding.as_ref()) {
+            Ok(claim) => claim,
+            Err(refusal) => return refusal,
         };
         let order: Order = match serde_json::from_slice(&request.body) {
             Ok(order) => order,
             Err(e) => return Response::refuse(400, &e.to_string(), true),
         };
         let id = order.id.clone();
-        let change = Name::from(format!("move-{id}"));
+        let change = Change {
+            id: change_id(&format!("move-{id}"), &request.body),
+            member: claim.member.clone(),
+            summary: format!("move {id}").into(),
+            base: None,
+        };
+        let owner = claim.member.clone();
         let plan = Plan { id: order.id, owner, goal: order.goal, within: order.within };
-        match self.changes.apply(change, |catalogue| self.edit(catalogue, &plan)) {
+        let edit = |catalogue: &Catalogue| {
+            claim.check(catalogue)?;
+            self.edit(catalogue, &plan)
+        };
+        match self.changes.submit(&change, &claim, edit) {
             Ok(version) => Response::json(200, &Accepted { id, version }),
             Err(e) => refuse(&e),
         }
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -5,11 +5,13 @@
 
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_http::{Method, Request, Response, Server};
-use sapphirerack_repository::Change;
+use sapphirerack_repository::{Change, change_id};
 use serde::Serialize;
 
 use crate::changes::{Changes, Rejection};
+use crate::claim::Claim;
 use crate::config::Config;
+use crate::member_front;
 use crate::metrics::Metrics;
 use crate::move_front::MoveFront;
 use crate::status::Reporter;
@@ -17,7 +19,11 @@
 
 /// Largest catalogue that an operator may send, in bytes.
 const CATALOGUE_LIMIT: usize = 1 << 20;
-const CHANGE_HEADER: &str = "x-change-id";
+/// Header with the unique id of a change.
+pub(crate) const CHANGE_HEADER: &str = "x-change-id";
+
+/// Header with the version that an operator has seen.
+const BASE_HEADER: &str = "x-base-version";
 
 #[derive(Serialize)]
 struct Accepted {
@@ -37,6 +43,7 @@
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
     moves: MoveFront,
+    founding: Option<Name>,
 }
 
 impl Operators {
@@ -46,8 +53,9 @@
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
         moves: MoveFront,
+        founding: Option<Name>,
     ) -> Self {
-        Self { config, reporter, metrics, changes, moves }
+        Self { config, reporter, metrics, changes, moves, founding }
     }
 
     /// Serves operators at `address`.
@@ -63,6 +71,10 @@
         if let Some(response) = self.moves.route(request) {
             return response;
         }
+        let founding = self.founding.as_ref();
+        if let Some(response) = member_front::route(request, &self.changes, founding) {
+            return response;
+        }
         match (&request.method, request.path.as_str()) {
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
@@ -94,23 +106,40 @@
     }
 
     fn put(&self, request: &Request) -> Response {
-        let Some(change) = request.header(CHANGE_HEADER).map(Name::from) else {
+        let claim = match Claim::read(request, self.founding.as_ref()) {
+            Ok(claim) => claim,
+            Err(refusal) => return refusal,
+        };
+        let Some(id) = request.header(CHANGE_HEADER) else {
             return Response::refuse(400, "x-change-id: expected a unique id", true);
         };
+        let base = request.header(BASE_HEADER).map(str::parse);
+        let Ok(base) = base.transpose() else {
+            return Response::refuse(400, "x-base-version: expected a version", true);
+        };
         let text = String::from_utf8_lossy(&request.body);
-        match sapphirerack_catalogue::from_text(&text) {
-            Ok(catalogue) => self.change(change, catalogue),
-            Err(e) => Response::refuse(400, &e.to_string(), true),
-        }
+        let catalogue = match sapphirerack_catalogue::from_text(&text) {
+            Ok(catalogue) => catalogue,
+            Err(e) => return Response::refuse(400, &e.to_string(), true),
+        };
+        let id = change_id(id, &request.body);
+        let member = claim.member.clone();
+        let change = Change { id, member, summary: "catalogue".into(), base };
+        self.change(&change, &claim, &catalogue)
     }
 
-    fn change(&self, id: Name, catalogue: Catalogue) -> Response {
-        // Moves change through their own requests alone.
+    fn change(&self, change: &Change, claim: &Claim, catalogue: &Catalogue) -> Response {
         let edit = |current: &Catalogue| {
-            Ok(Catalogue { moves: current.moves.clone(), ..catalogue.clone() })
+            // Moves and proposals change through their own requests alone.
+            let next = Catalogue {
+                moves: current.moves.clone(),
+                proposals: current.proposals.clone(),
+                ..catalogue.clone()
+            };
+            claim.authorize(current, &next)?;
+            Ok(next)
         };
-        let change = Change { id, member: "".into(), summary: "catalogue".into(), base: None };
-        match self.changes.submit(&change, edit) {
+        match self.changes.submit(change, claim, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -102,14 +102,16 @@
         gossip: gossip.clone(),
         steps,
     })?;
+    let founding = settings.founding.clone();
     let front = MoveFront {
+        founding: founding.clone(),
         config: config.clone(),
         routing: routing.clone(),
         changes: changes.clone(),
         moves,
     };
     let reporter = Reporter { config: config.clone(), peers: peers.clone(), gossip, fetcher };
-    let operators = Operators::new(config, reporter, metrics.clone(), changes, front);
+    let operators = Operators::new(config, reporter, metrics.clone(), changes, front, founding);
     let operators = operators.serve(settings.listen.operators)?;
     let gather = Gather::new(clock, routing, peers, calls, metrics.clone());
     let entry = Entry::new(gather, metrics, settings.limits.clone());
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -26,6 +26,10 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// SHA-256, in hexadecimal, of the key with which the first catalogue is put in force; it has
+    /// no use once the catalogue names a member. Without it an empty catalogue can't be changed.
+    #[serde(default)]
+    pub founding: Option<Name>,
     /// Datagrams between hosts.
     #[serde(default)]
     pub gossip: GossipSettings,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -10,8 +10,8 @@
 
 use crate::network::Network;
 pub use crate::plan::{Plan, Shape, span};
-pub use crate::process::HostProcess;
 use crate::process::scratch;
+pub use crate::process::{HostProcess, MEMBER_KEY};
 use crate::relay::RelayFault;
 use crate::store::StoreServer;
 use crate::target::TargetServer;
@@ -72,6 +72,8 @@
         let file = scratch("catalogue.json", &text);
         let status = Command::new(program)
             .args(["apply", "--host", &self.hosts[0].operators.to_string()])
+            .args(["--member", &self.catalogue.members[0].name])
+            .env("SAPPHIRERACK_KEY", MEMBER_KEY)
             .arg(&file)
             .stdout(Stdio::null())
             .status()
@@ -155,6 +157,9 @@
 /// Starts the targets; the catalogue names their addresses.
 fn start_targets(plan: &Plan) -> (Catalogue, Vec<TargetServer>) {
     let mut catalogue = plan.catalogue.clone();
+    for member in &mut catalogue.members {
+        member.key = sapphirerack_catalogue::key_hash(MEMBER_KEY);
+    }
     let mut servers = Vec::new();
     for (before, service) in plan.catalogue.services.iter().zip(&mut catalogue.services) {
         for (old, shard) in before.shards.iter().zip(&mut service.shards) {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -179,7 +179,7 @@
         members: vec![Member { name: "zeugenwerk".into(), key: "0".into() }],
         data_centres: shape.data_centres.iter().map(centre).collect(),
         services: vec![service],
-        moves: Vec::new(),
+        ..Catalogue::default()
     }
 }
 
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -8,10 +8,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::Name;
+use sapphirerack_catalogue::{Name, key_hash};
 use sapphirerack_platform::{HostEntry, HostState};
 use serde_json::{Value, json};
 
+/// Key of every member in the lab.
+pub const MEMBER_KEY: &str = "lab member key";
+
 /// Time within which a host must answer.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_PAUSE: Duration = Duration::from_millis(20);
@@ -56,6 +59,7 @@
             "name": name, "data_centre": data_centre,
             "listen": { "callers": callers, "operators": operators, "hosts": hosts },
             "store": { "address": store },
+            "founding": key_hash(MEMBER_KEY),
             "log": "warn",
         });
         merge(&mut settings, extra);
--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -13,11 +13,15 @@
 use sapphirerack_policy::Clock;
 
 use crate::head::{HEAD_KEY, Head, Recent, part_key};
+use crate::snapshot::digest;
 use crate::{KeyValue, Keys, Part, Rejection, Snapshot};
 
 /// Longest id of a change, in bytes.
 const ID_LIMIT: usize = 128;
 
+/// Hexadecimal digits of the content's digest in an id.
+const CONTENT_DIGITS: usize = 16;
+
 /// Times that an edit is tried again on a newer catalogue.
 const EDIT_TRIES: usize = 8;
 
@@ -40,6 +44,12 @@
     pub base: Option<u64>,
 }
 
+/// Id of a change that binds the operator's id to what was asked: the same id with another
+/// content is another change.
+pub fn change_id(id: &str, content: &[u8]) -> Name {
+    format!("{id}.{}", &digest(content)[..CONTENT_DIGITS]).into()
+}
+
 enum Written {
     Accepted,
     /// Another head stands; the write has not taken effect and never will.
--- a/crates/repository/src/lib.rs
+++ b/crates/repository/src/lib.rs
@@ -33,7 +33,7 @@
 mod snapshot;
 mod store;
 
-pub use crate::change::{Change, Repository};
+pub use crate::change::{Change, Repository, change_id};
 pub use crate::head::{HEAD_KEY, Head, RECENT_CHANGES, Recent, part_key};
 pub use crate::in_force::{InForce, View};
 pub use crate::rejection::Rejection;
--- a/crates/repository/src/snapshot.rs
+++ b/crates/repository/src/snapshot.rs
@@ -110,7 +110,7 @@
     Ok(key)
 }
 
-fn digest(bytes: &[u8]) -> Name {
+pub(crate) fn digest(bytes: &[u8]) -> Name {
     let hash = Sha256::digest(bytes);
     hash[..DIGEST_BYTES].iter().map(|b| format!("{b:02x}")).collect::<String>().into()
 }
--- a/crates/sapphirerack/src/client.rs
+++ b/crates/sapphirerack/src/client.rs
@@ -60,6 +60,22 @@
         self.send(step, request.with_body(body))
     }
 
+    /// Posts `body` to `path`, as the change `change`.
+    ///
+    /// # Errors
+    ///
+    /// No answer, a refusal or a conflict.
+    pub(crate) fn post_change(
+        &self,
+        step: &'static str,
+        path: &str,
+        change: &str,
+        body: String,
+    ) -> Result<Value> {
+        let request = minreq::post(self.url(path)).with_header("x-change-id", change);
+        self.send(step, request.with_body(body))
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.host)
     }
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -4,10 +4,17 @@
 
 use crate::client::Client;
 use crate::error::{Error, Result};
-use crate::{apply, check, get, serve, status};
-
-const COMMANDS: [&Command; 5] =
-    [&serve::COMMAND, &check::COMMAND, &apply::COMMAND, &get::COMMAND, &status::COMMAND];
+use crate::{apply, check, get, member, serve, status};
+
+const COMMANDS: [&Command; 7] = [
+    &serve::COMMAND,
+    &check::COMMAND,
+    &apply::COMMAND,
+    &get::COMMAND,
+    &status::COMMAND,
+    &member::PROPOSE,
+    &member::APPROVE,
+];
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 can't run, 2 usage, 3 file refused, \
      4 no answer, 5 refused, 6 conflict, 7 outcome unknown";
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -17,6 +17,7 @@
 mod command;
 mod error;
 mod get;
+mod member;
 mod output;
 mod serve;
 mod status;
--- a/crates/sapphirerack/src/status.rs
+++ b/crates/sapphirerack/src/status.rs
@@ -10,6 +10,9 @@
 /// Columns of the table.
 const COLUMNS: [&str; 5] = ["host", "data_centre", "version", "ready", "live_hosts"];
 
+/// Columns that are known of other hosts.
+const ALL_COLUMNS: usize = 3;
+
 pub(crate) const COMMAND: Command = Command {
     name: "status",
     summary: "Print which configuration is in force, and where",
@@ -30,11 +33,18 @@
         print_json(&status);
         return Ok(());
     }
-    let hosts = match &status {
+    let hosts = match &status["hosts"] {
         Value::Array(hosts) => hosts.as_slice(),
-        one => std::slice::from_ref(one),
+        _ => std::slice::from_ref(&status),
     };
-    let row = |host: &Value| COLUMNS.iter().map(|c| field(host, c)).collect();
-    print_table(&COLUMNS, &hosts.iter().map(row).collect::<Vec<_>>());
+    let columns = if args.is_set("all") { &COLUMNS[..ALL_COLUMNS] } else { &COLUMNS };
+    let row = |host: &Value| columns.iter().map(|c| field(host, c)).collect();
+    print_table(columns, &hosts.iter().map(row).collect::<Vec<_>>());
+    for host in status["unasked"].as_array().into_iter().flatten() {
+        println!("no answer: {} in {}", field(host, "host"), field(host, "data_centre"));
+    }
+    for name in status["cut"].as_array().into_iter().flatten() {
+        println!("cut off: data centre {}", name.as_str().unwrap_or_default());
+    }
     Ok(())
 }
