Decide dispatch at the owner by a state machine of the group

Cause: the owner's workers took sub-queries from one queue, without deadline order, hedges, retries or cold limits; stragglers set the tail.

Change: policy holds the group as a state machine (queue by deadline, slots, one waiting place, hedges and retries on one budget, cold ramp); the owner's threads carry its actions out.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 //! - `gather`: one query, scattered and gathered
 //! - `calls`: requests to other hosts and their replies
 //! - `links`: TCP links between hosts
+//! - `lanes`: threads that talk to one target
 //! - `owner`: sub-queries at the targets that this host owns
 //! - `inbox`: hands what other hosts want to the parts of this host
 //! - `versions`: traffic shares and evidence of back-end versions
@@ -33,6 +34,7 @@
 mod error;
 mod gather;
 mod inbox;
+mod lanes;
 mod links;
 mod metrics;
 mod operators;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -23,6 +23,7 @@
     refusals: Counter<u64>,
     sub_queries: Counter<u64>,
     extra: Counter<u64>,
+    target_failures: Counter<u64>,
 }
 
 /// Whose traffic a measurement belongs to.
@@ -55,6 +56,7 @@
             refusals: meter.u64_counter("refusals").build(),
             sub_queries: meter.u64_counter("sub_queries").build(),
             extra: meter.u64_counter("extra_sub_queries").build(),
+            target_failures: meter.u64_counter("target_failures").build(),
             registry,
             _provider: provider,
         })
@@ -77,6 +79,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records a request to a target that gave no usable answer.
+    pub(crate) fn target_failed(&self, reason: &'static str) {
+        self.target_failures.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// All metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -1,27 +1,31 @@
 //! Sub-queries at the targets that this host owns.
 //!
-//! Each group (the targets of one shard in this data centre) has a queue and one worker thread
-//! for each slot of each of its targets, so that a target never gets more than its slots.
+//! One thread drives the state machines of all groups (the targets of one shard in this data
+//! centre): it takes requests and what the threads of the targets report, and carries out what
+//! the state machines decide.
 
 use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::{Map, Name, Shard, Span, Target, TargetState};
-use sapphirerack_platform::{Found, Search, TargetClient};
-use sapphirerack_policy::{Clock, SnapshotId};
+use sapphirerack_catalogue::{Map, Name, Shard, Target, TargetState};
+use sapphirerack_policy::{
+    Action, Clock, Denial, Group, Job, Outcome, SnapshotId, Tuning, full_limit,
+};
 use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
 use crate::config::Config;
-use crate::versions::{Outcome, Versions};
+use crate::lanes::{Ending, Errand, Lane, Report, Reporter};
+use crate::metrics::Metrics;
+use crate::versions::{self, Versions};
 use crate::{Error, Result};
 
-const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Events that are taken before the state machines are asked what to do.
+const BATCH: usize = 64;
 
-/// What the owner is asked.
+/// What the owner is asked, or told by the threads of its targets.
 pub(crate) enum OwnerRequest {
     /// Which snapshots a shard's replicas hold.
     Describe { service: Name, shard: Name, reply_to: ReplyTo },
@@ -29,209 +33,376 @@
     Search(SubQuery, ReplyTo),
     /// To drop a sub-query whose answer is no longer wanted.
     Cancel(ReplyTo),
+    /// What happened at a target of a group.
+    Report(usize, Report),
 }
 
-type Snapshots = Arc<Mutex<BTreeSet<SnapshotId>>>;
+/// What the owner works with.
+pub(crate) struct Parts {
+    pub clock: Arc<dyn Clock>,
+    pub config: Arc<Config>,
+    pub calls: Arc<Calls>,
+    pub versions: Arc<Versions>,
+    pub metrics: Arc<Metrics>,
+    pub data_centre: Name,
+    pub tuning: Tuning,
+}
 
-struct Job {
-    query: SubQuery,
-    reply_to: ReplyTo,
+/// Runs sub-queries at the targets that this host owns.
+pub(crate) struct Owner {
+    parts: Parts,
+    reports: flume::Sender<OwnerRequest>,
+    places: Map<(Name, Name), Option<usize>>,
+    groups: Vec<Replicas>,
+    wakes: BTreeSet<(Instant, usize)>,
+    dirty: BTreeSet<usize>,
+    jobs: Map<u64, Open>,
+    by_reply: Map<ReplyTo, u64>,
+    next: u64,
+    version: u64,
 }
 
-struct Group {
-    targets: Vec<Target>,
-    jobs: flume::Sender<Job>,
-    held: Snapshots,
+/// A group with the threads of its targets.
+struct Replicas {
+    group: Group,
+    lanes: Vec<Lane>,
+    span: sapphirerack_catalogue::Span,
+    deadline: Duration,
+    sent: Map<u64, Sent>,
+    wake: Option<Instant>,
 }
 
-/// Runs sub-queries at the targets that this host owns.
-pub(crate) struct Owner {
-    clock: Arc<dyn Clock>,
-    config: Arc<Config>,
-    calls: Arc<Calls>,
-    versions: Arc<Versions>,
-    data_centre: Name,
-    groups: Map<(Name, Name), Group>,
+/// A job whose answer is wanted.
+struct Open {
+    query: Arc<SubQuery>,
+    reply_to: ReplyTo,
+    place: usize,
+    draw: f64,
 }
 
-struct Worker {
-    clock: Arc<dyn Clock>,
-    calls: Arc<Calls>,
-    versions: Arc<Versions>,
-    client: TargetClient,
+/// A request at a target.
+struct Sent {
+    request: Arc<str>,
+    query: Arc<SubQuery>,
     version: Name,
-    span: Span,
-    jobs: flume::Receiver<Job>,
-    held: Snapshots,
+    cancelled: bool,
+    part: Option<Part>,
 }
 
 impl Owner {
-    pub(crate) fn new(
-        clock: Arc<dyn Clock>,
-        config: Arc<Config>,
-        calls: Arc<Calls>,
-        versions: Arc<Versions>,
-        data_centre: Name,
-    ) -> Self {
-        Self { clock, config, calls, versions, data_centre, groups: Map::default() }
+    pub(crate) fn new(parts: Parts, reports: flume::Sender<OwnerRequest>) -> Self {
+        Self {
+            parts,
+            reports,
+            places: Map::default(),
+            groups: Vec::new(),
+            wakes: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            jobs: Map::default(),
+            by_reply: Map::default(),
+            next: 0,
+            version: 0,
+        }
     }
 
     /// Takes requests on a thread of its own.
     pub(crate) fn spawn(mut self, requests: flume::Receiver<OwnerRequest>) -> Result<()> {
         let run = move || {
-            for request in requests {
-                self.handle(request);
-            }
+            while self.turn(&requests) {}
         };
         let builder = thread::Builder::new().name("owner".into());
         builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "owner", e))
     }
 
+    /// Waits for events, takes them, and carries out what follows; false at the end.
+    fn turn(&mut self, requests: &flume::Receiver<OwnerRequest>) -> bool {
+        let first = match self.wakes.first() {
+            Some((at, _)) => requests.recv_deadline(*at).map_err(|e| e.to_string()),
+            None => requests.recv().map_err(|e| e.to_string()),
+        };
+        if first.is_err() && requests.is_disconnected() {
+            return false;
+        }
+        self.refresh();
+        first.into_iter().chain(requests.try_iter().take(BATCH)).for_each(|r| self.handle(r));
+        let now = self.parts.clock.now();
+        while let Some((at, place)) = self.wakes.first().copied()
+            && at <= now
+        {
+            self.wakes.remove(&(at, place));
+            self.dirty.insert(place);
+        }
+        for place in std::mem::take(&mut self.dirty) {
+            self.step(place, now);
+        }
+        true
+    }
+
     fn handle(&mut self, request: OwnerRequest) {
         match request {
             OwnerRequest::Describe { service, shard, reply_to } => {
-                let held = self.group(&service, &shard).map(|g| snapshots(&g.held));
-                self.calls.reply(reply_to, Reply::Described(held.unwrap_or_default()));
+                let place = self.place(&service, &shard);
+                let held = place.map(|p| self.groups[p].group.held()).unwrap_or_default();
+                self.parts.calls.reply(reply_to, Reply::Described(held));
             }
             OwnerRequest::Search(query, reply_to) => {
-                match self.group(&query.service.clone(), &query.shard.clone()) {
-                    // The workers hold the receiver as long as the group stands.
-                    Some(group) => drop(group.jobs.send(Job { query, reply_to })),
+                match self.place(&query.service, &query.shard) {
+                    Some(place) => self.submit(place, query, reply_to),
                     None => self.fail(reply_to, Failure::NotOwner),
                 }
             }
-            OwnerRequest::Cancel(reply_to) => log::debug!("step=cancel reply_to={reply_to:?}"),
+            OwnerRequest::Cancel(reply_to) => self.cancel(reply_to),
+            OwnerRequest::Report(place, report) => self.report(place, report),
         }
     }
 
-    fn fail(&self, to: ReplyTo, failure: Failure) {
-        let reply = SubReply { outcome: Err(failure), held: Vec::new(), extra: 0 };
-        self.calls.reply(to, Reply::Found(reply));
+    /// Brings the groups in line with the catalogue in force.
+    fn refresh(&mut self) {
+        let view = self.parts.config.view();
+        if view.version == self.version {
+            return;
+        }
+        self.version = view.version;
+        let places = std::mem::take(&mut self.places);
+        for ((service, shard), place) in places {
+            let Some(place) = place else { continue };
+            let entry = view.catalogue.service(&service).and_then(|s| {
+                Some((s.limits.deadline, s.shards.iter().find(|c| c.name == shard)?))
+            });
+            match entry {
+                Some((deadline, entry)) => self.update(place, entry, deadline),
+                None => self.clear(place),
+            }
+            self.places.insert((service, shard), Some(place));
+            self.dirty.insert(place);
+        }
     }
 
-    /// The group of a shard, started on first use and again when its targets change.
-    fn group(&mut self, service: &Name, shard: &Name) -> Option<&Group> {
-        let view = self.config.view();
-        let entry = view.catalogue.service(service)?;
-        let entry = entry.shards.iter().find(|s| s.name == *shard)?;
-        let targets = self.targets(entry);
-        if targets.is_empty() {
-            return None;
+    fn update(&mut self, place: usize, shard: &Shard, deadline: Duration) {
+        let targets = self.targets(shard);
+        let report = self.reporter(place);
+        let entry = &mut self.groups[place];
+        let is_same_span = entry.span == shard.span;
+        entry.span = shard.span;
+        entry.deadline = deadline;
+        entry.group.set_targets(&targets);
+        let mut old = std::mem::take(&mut entry.lanes);
+        for target in &targets {
+            let same = old.iter().position(|l| is_same_span && l.target == *target);
+            entry.lanes.push(match same {
+                Some(i) => old.swap_remove(i),
+                None => self.parts.start(target, shard.span, &report),
+            });
         }
+    }
+
+    fn clear(&mut self, place: usize) {
+        self.groups[place].group.set_targets(&[]);
+        self.groups[place].lanes.clear();
+    }
+
+    /// The group of a shard, started on first use; `None` if this data centre has none.
+    fn place(&mut self, service: &Name, shard: &Name) -> Option<usize> {
         let key = (service.clone(), shard.clone());
-        if self.groups.get(&key).is_none_or(|g| g.targets != targets) {
-            let group = self.start(entry.span, targets);
-            self.groups.insert(key.clone(), group);
+        if let Some(place) = self.places.get(&key) {
+            return place.filter(|p| !self.groups[*p].lanes.is_empty());
         }
-        self.groups.get(&key)
+        let view = self.parts.config.view();
+        let entry = view.catalogue.service(service)?;
+        let limit = entry.limits.deadline;
+        let entry = entry.shards.iter().find(|s| s.name == *shard)?;
+        let targets = self.targets(entry);
+        let place = (!targets.is_empty()).then(|| self.start(entry, &targets, limit));
+        self.places.insert(key, place);
+        place
     }
 
     fn targets(&self, shard: &Shard) -> Vec<Target> {
-        let own = |t: &&Target| t.data_centre == self.data_centre && t.state == TargetState::Active;
+        let centre = &self.parts.data_centre;
+        let own = |t: &&Target| t.data_centre == *centre && t.state == TargetState::Active;
         shard.targets.iter().filter(own).cloned().collect()
     }
 
-    fn start(&self, span: Span, targets: Vec<Target>) -> Group {
-        let (sender, jobs) = flume::unbounded();
-        let held = Snapshots::default();
-        for target in &targets {
-            let client = TargetClient::new(target.address, target.connections as usize);
-            probe(client.clone(), held.clone(), jobs.clone());
-            for _ in 0..target.slots {
-                let worker = Worker {
-                    clock: self.clock.clone(),
-                    calls: self.calls.clone(),
-                    versions: self.versions.clone(),
-                    client: client.clone(),
-                    version: target.version.clone(),
-                    span,
-                    jobs: jobs.clone(),
-                    held: held.clone(),
-                };
-                worker.spawn();
-            }
+    fn start(&mut self, shard: &Shard, targets: &[Target], deadline: Duration) -> usize {
+        let place = self.groups.len();
+        let report = self.reporter(place);
+        let start = |t: &Target| self.parts.start(t, shard.span, &report);
+        let lanes = targets.iter().map(start).collect();
+        let group = Group::new(targets, self.parts.tuning, fastrand::u64(..));
+        let span = shard.span;
+        self.groups.push(Replicas {
+            group,
+            lanes,
+            span,
+            deadline,
+            sent: Map::default(),
+            wake: None,
+        });
+        place
+    }
+
+    fn reporter(&self, place: usize) -> Reporter {
+        let reports = self.reports.clone();
+        // The receiver goes away only when the process ends.
+        Arc::new(move |report| drop(reports.send(OwnerRequest::Report(place, report))))
+    }
+
+    fn submit(&mut self, place: usize, query: SubQuery, reply_to: ReplyTo) {
+        let now = self.parts.clock.now();
+        let left = Duration::from_micros(query.deadline).saturating_sub(self.parts.clock.unix());
+        let entry = &mut self.groups[place];
+        let deadline = now + left.min(entry.deadline);
+        let id = self.next;
+        self.next += 1;
+        let job = Job { id, snapshot: query.snapshot, deadline };
+        let query = Arc::new(query);
+        self.jobs.insert(id, Open { query, reply_to, place, draw: fastrand::f64() });
+        self.by_reply.insert(reply_to, id);
+        entry.group.submit(now, job);
+        self.dirty.insert(place);
+    }
+
+    fn cancel(&mut self, reply_to: ReplyTo) {
+        let Some(id) = self.by_reply.remove(&reply_to) else { return };
+        if let Some(open) = self.jobs.remove(&id) {
+            self.groups[open.place].group.cancel(id);
+            self.dirty.insert(open.place);
         }
-        Group { targets, jobs: sender, held }
     }
-}
 
-impl Worker {
-    fn spawn(self) {
-        let run = move || {
-            while let Ok(job) = self.jobs.recv() {
-                let outcome = self.run(&job.query);
-                let held = snapshots(&self.held);
-                let reply = SubReply { outcome, held, extra: 0 };
-                self.calls.reply(job.reply_to, Reply::Found(reply));
+    fn report(&mut self, place: usize, report: Report) {
+        self.dirty.insert(place);
+        match report {
+            Report::Health { target, health } => {
+                self.groups[place].group.set_held(&target, health.held);
+            }
+            Report::Finished { attempt, time, ending } => {
+                self.finished(place, attempt, time, ending);
             }
-        };
-        if let Err(e) = thread::Builder::new().name("target".into()).spawn(run) {
-            log::error!("step=\"start thread\" error={e}");
         }
     }
 
-    fn run(&self, query: &SubQuery) -> std::result::Result<Part, Failure> {
-        let deadline = Duration::from_micros(query.deadline);
-        let timeout = deadline.saturating_sub(self.clock.unix());
-        if timeout.is_zero() {
-            return Err(Failure::Timeout);
+    fn finished(&mut self, place: usize, attempt: u64, time: Duration, ending: Ending) {
+        let now = self.parts.clock.now();
+        let Replicas { group, sent, .. } = &mut self.groups[place];
+        let Some(entry) = sent.get_mut(&attempt) else { return };
+        let outcome = match ending.outcome {
+            Outcome::Failed if entry.cancelled => Outcome::Cancelled,
+            outcome => outcome,
+        };
+        if let Some(failure) = ending.failure.filter(|_| outcome != Outcome::Cancelled) {
+            self.parts.metrics.target_failed(failure);
         }
-        if !self.versions.admits(&query.service, &query.route, &self.version, fastrand::f64()) {
-            return Err(Failure::Target);
+        if outcome != Outcome::Cancelled {
+            let outcome = versions::Outcome { ok: outcome == Outcome::Answered, time };
+            let query = &entry.query;
+            self.parts.versions.record(&query.service, &query.route, &entry.version, outcome);
         }
-        let request = format!("{:016x}", fastrand::u64(..));
-        let search = Search {
-            request: &request,
-            snapshot: query.snapshot,
-            span: self.span,
-            route: &query.route,
-            deadline,
-            timeout,
-            query: &query.query,
-        };
-        let start = self.clock.now();
-        let found = self.client.search(&search);
-        let time = self.clock.now().duration_since(start);
-        let outcome = Outcome { ok: found.is_ok(), time };
-        self.versions.record(&query.service, &query.route, &self.version, outcome);
-        match found {
-            Ok(found) => self.accept(query, found),
-            Err(e) => {
-                log::debug!("step=search request={request} error={e:?}");
-                Err(Failure::Target)
+        if let Some(found) = ending.found {
+            if !found.held.is_empty() {
+                group.learn_held(attempt, found.held);
             }
+            let results = Box::<str>::from(found.results).into_string();
+            entry.part = Some(Part { snapshot: found.snapshot, span: found.span, results });
         }
+        group.finished(now, attempt, outcome);
+        self.step(place, now);
+        self.groups[place].sent.remove(&attempt);
     }
 
-    fn accept(&self, query: &SubQuery, found: Found) -> std::result::Result<Part, Failure> {
-        if !found.held.is_empty() {
-            *self.held.lock().unwrap_or_else(PoisonError::into_inner) =
-                found.held.iter().copied().collect();
+    /// Carries out what a group decides.
+    fn step(&mut self, place: usize, now: Instant) {
+        let entry = &mut self.groups[place];
+        let (jobs, versions) = (&self.jobs, &self.parts.versions);
+        let mut admits = |job: u64, target: &Target| {
+            jobs.get(&job).is_some_and(|open| {
+                let query = &open.query;
+                versions.admits(&query.service, &query.route, &target.version, open.draw)
+            })
+        };
+        let actions = entry.group.step(now, &mut admits);
+        let wake = entry.group.next_wake(now);
+        if let Some(old) = std::mem::replace(&mut entry.wake, wake) {
+            self.wakes.remove(&(old, place));
         }
-        if found.snapshot != query.snapshot || found.span != self.span {
-            return Err(Failure::NoSnapshot);
+        self.wakes.extend(wake.map(|at| (at, place)));
+        for action in actions {
+            self.act(place, action);
         }
-        let results = Box::<str>::from(found.results).into_string();
-        Ok(Part { snapshot: found.snapshot, span: found.span, results })
     }
-}
 
-/// Keeps a group's snapshots up to date from a target's health, until the group is dropped.
-fn probe(client: TargetClient, held: Snapshots, jobs: flume::Receiver<Job>) {
-    let run = move || {
-        while !jobs.is_disconnected() {
-            if let Ok(health) = client.health(HEALTH_TIMEOUT) {
-                *held.lock().unwrap_or_else(PoisonError::into_inner) =
-                    health.held.into_iter().collect();
+    fn act(&mut self, place: usize, action: Action) {
+        match action {
+            Action::Dispatch { attempt, job, target, .. } => {
+                self.dispatch(place, attempt, job, &target);
             }
-            thread::sleep(HEALTH_INTERVAL);
+            Action::Cancel { attempt, target } => {
+                let entry = &mut self.groups[place];
+                let Some(sent) = entry.sent.get_mut(&attempt) else { return };
+                sent.cancelled = true;
+                if let Some(lane) = entry.lanes.iter().find(|l| l.target.name == target) {
+                    lane.cancel(sent.request.clone());
+                }
+            }
+            Action::Reply { job, result, extra } => self.reply(place, job, result, extra),
         }
-    };
-    if let Err(e) = thread::Builder::new().name("probe".into()).spawn(run) {
-        log::error!("step=\"start thread\" error={e}");
+    }
+
+    fn dispatch(&mut self, place: usize, attempt: u64, job: u64, target: &Name) {
+        let Some(open) = self.jobs.get(&job) else { return };
+        let entry = &mut self.groups[place];
+        let Some(lane) = entry.lanes.iter().find(|l| l.target.name == *target) else { return };
+        let request: Arc<str> = format!("{:016x}", fastrand::u64(..)).into();
+        let sent = Sent {
+            request: request.clone(),
+            query: open.query.clone(),
+            version: lane.target.version.clone(),
+            cancelled: false,
+            part: None,
+        };
+        entry.sent.insert(attempt, sent);
+        let longest = self.parts.clock.unix() + entry.deadline;
+        let deadline = Duration::from_micros(open.query.deadline).min(longest);
+        lane.send(Errand { attempt, request, query: open.query.clone(), deadline });
+    }
+
+    fn reply(
+        &mut self,
+        place: usize,
+        job: u64,
+        result: std::result::Result<u64, Denial>,
+        extra: u32,
+    ) {
+        let Some(open) = self.jobs.remove(&job) else { return };
+        self.by_reply.remove(&open.reply_to);
+        let entry = &mut self.groups[place];
+        let mut part = |attempt| entry.sent.get_mut(&attempt)?.part.take();
+        let outcome = match result {
+            Ok(attempt) => part(attempt).ok_or(Failure::Target),
+            Err(denial) => Err(failure(denial)),
+        };
+        let reply = SubReply { outcome, held: entry.group.held(), extra };
+        self.parts.calls.reply(open.reply_to, Reply::Found(reply));
+    }
+
+    fn fail(&self, to: ReplyTo, failure: Failure) {
+        let reply = SubReply { outcome: Err(failure), held: Vec::<SnapshotId>::new(), extra: 0 };
+        self.parts.calls.reply(to, Reply::Found(reply));
     }
 }
 
-fn snapshots(held: &Snapshots) -> Vec<SnapshotId> {
-    held.lock().unwrap_or_else(PoisonError::into_inner).iter().copied().collect()
+impl Parts {
+    fn start(&self, target: &Target, span: sapphirerack_catalogue::Span, to: &Reporter) -> Lane {
+        let limit = full_limit(target, self.tuning.waiting);
+        Lane::start(target, span, limit, &self.clock, to)
+    }
+}
+
+fn failure(denial: Denial) -> Failure {
+    match denial {
+        Denial::Overloaded => Failure::Overloaded,
+        Denial::NoSnapshot => Failure::NoSnapshot,
+        Denial::Timeout => Failure::Timeout,
+        Denial::Target => Failure::Target,
+    }
 }
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::owner::Owner;
 use crate::peers::Peers;
 use crate::versions::Versions;
-use crate::{Result, Settings, config, inbox, links, peers};
+use crate::{Result, Settings, config, inbox, links, owner, peers};
 
 /// A running entry host.
 pub struct Host {
@@ -55,10 +55,17 @@
     let calls = Calls::new(settings.listen.hosts, links, inbound.clone());
     poller.spawn(inbox::handler(calls.clone(), inbound))?;
     let versions = Arc::new(Versions::default());
-    let centre = settings.data_centre.clone();
-    let owner = Owner::new(clock.clone(), config.clone(), calls.clone(), versions, centre);
+    let parts = owner::Parts {
+        clock: clock.clone(),
+        config: config.clone(),
+        calls: calls.clone(),
+        versions,
+        metrics: metrics.clone(),
+        data_centre: settings.data_centre.clone(),
+        tuning: settings.queries.tuning(),
+    };
     let (sender, owned) = flume::unbounded();
-    owner.spawn(owned)?;
+    Owner::new(parts, sender.clone()).spawn(owned)?;
     Inbox { calls: calls.clone(), owner: sender }.spawn(requests)?;
 
     config::follow(config.clone(), store.clone())?;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
+use sapphirerack_policy::Tuning;
 use serde::Deserialize;
 
 use crate::{Error, Result};
@@ -23,6 +24,9 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// How queries are run.
+    #[serde(default)]
+    pub queries: QuerySettings,
     /// Log level: off, error, warn, info, debug or trace.
     #[serde(default = "default_log")]
     pub log: Name,
@@ -69,6 +73,44 @@
     }
 }
 
+/// How queries are run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuerySettings {
+    /// Requests that may wait at a target beyond its slots.
+    pub waiting: u32,
+    /// Hedges and retries, as a share of the sub-queries, 0 to 1.
+    pub extra: f64,
+    /// Hedges and retries that are saved up at most, for each group of replicas.
+    pub burst: u32,
+    /// Quantile of a service's own latency after which a sub-query is hedged, 0 to 1.
+    pub quantile: f64,
+}
+
+impl Default for QuerySettings {
+    fn default() -> Self {
+        let Tuning { waiting, extra, quantile, .. } = Tuning::default();
+        Self { waiting, extra, burst: 8, quantile }
+    }
+}
+
+impl QuerySettings {
+    /// The settings as the state machines take them.
+    pub(crate) fn tuning(&self) -> Tuning {
+        let Self { waiting, extra, burst, quantile } = *self;
+        Tuning { waiting, extra, burst: burst.into(), quantile }
+    }
+
+    fn check(&self) -> Result<()> {
+        for (field, value) in [("extra", self.extra), ("quantile", self.quantile)] {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(Error::rule(format!("queries.{field}: {value}, expected 0 to 1")));
+            }
+        }
+        Ok(())
+    }
+}
+
 fn default_log() -> Name {
     "info".into()
 }
@@ -100,6 +142,7 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    settings.queries.check()?;
     if settings.log.parse::<log::LevelFilter>().is_err() {
         let found = &settings.log;
         return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -33,6 +33,10 @@
 pub(crate) enum Code {
     #[error("{0}")]
     Unreachable(String),
+    #[error("no connection: {0}")]
+    Unconnected(String),
+    #[error("no answer in time")]
+    Timeout,
     #[error("refused with status {0}")]
     Refused(u16),
     #[error("version conflict")]
@@ -50,13 +54,23 @@
     /// Coarse kind of the error.
     pub fn classify(&self) -> Category {
         match self.0.code {
-            Code::Unreachable(_) => Category::Unreachable,
+            Code::Unreachable(_) | Code::Unconnected(_) | Code::Timeout => Category::Unreachable,
             Code::Refused(_) => Category::Refused,
             Code::Conflict => Category::Conflict,
             Code::Malformed(_) => Category::Malformed,
         }
     }
 
+    /// Whether no connection was made, so that the peer has seen nothing of the call.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self.0.code, Code::Unconnected(_))
+    }
+
+    /// Whether the time for the call was up.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self.0.code, Code::Timeout)
+    }
+
     /// Status with which the peer refused.
     pub fn status(&self) -> Option<u16> {
         match self.0.code {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,5 +1,6 @@
 //! What the HTTP clients share.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
@@ -18,6 +19,8 @@
 pub(crate) fn agent(idle: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
         .max_idle_connections(idle)
         .max_idle_connections_per_host(idle)
         .build();
@@ -27,19 +30,19 @@
 /// Sends a request that has no body.
 pub(crate) fn fetch(request: RequestBuilder<WithoutBody>, timeout: Duration) -> Answer {
     let request = request.config().timeout_global(Some(timeout)).build();
-    request.call().map_err(|e| Code::Unreachable(e.to_string()))
+    request.call().map_err(code)
 }
 
 /// Sends a request with a body.
 pub(crate) fn send(request: RequestBuilder<WithBody>, timeout: Duration, body: &[u8]) -> Answer {
     let request = request.config().timeout_global(Some(timeout)).build();
-    request.send(body).map_err(|e| Code::Unreachable(e.to_string()))
+    request.send(body).map_err(code)
 }
 
 /// Reads a body of at most `limit` bytes.
 pub(crate) fn bytes(response: &mut Response, limit: u64) -> Result<Vec<u8>, Code> {
     let body = response.body_mut().with_config().limit(limit).read_to_vec();
-    body.map_err(|e| Code::Unreachable(e.to_string()))
+    body.map_err(code)
 }
 
 /// Reads a JSON body of at most `limit` bytes.
@@ -47,3 +50,17 @@
     let body = bytes(response, limit)?;
     serde_json::from_slice(&body).map_err(|e| Code::Malformed(e.to_string()))
 }
+
+fn code(error: ureq::Error) -> Code {
+    match error {
+        ureq::Error::Timeout(_) => Code::Timeout,
+        ureq::Error::BodyExceedsLimit(limit) => {
+            Code::Malformed(format!("body of more than {limit} bytes"))
+        }
+        ureq::Error::ConnectionFailed => Code::Unconnected(error.to_string()),
+        ureq::Error::Io(e) if e.kind() == ErrorKind::ConnectionRefused => {
+            Code::Unconnected(e.to_string())
+        }
+        e => Code::Unreachable(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,60 @@
+//! The budget for requests beyond the first: hedges and retries.
+//!
+//! Every sub-query earns a fraction of a token and every extra request spends a whole one, so
+//! that extra load stays below a stated share however badly the targets do. The share of a
+//! sub-query is split between the two places that can send extra requests, so that the sum holds:
+//! see [`split`].
+
+/// Tokens for extra requests.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+    share: f64,
+    burst: f64,
+}
+
+impl Budget {
+    /// Budget that starts with `burst` tokens, its most, and earns `share` for each sub-query.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self { tokens: burst, share, burst }
+    }
+
+    /// Earns the share of one sub-query.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst);
+    }
+
+    /// Spends a token; false if there is none.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Spends a token that may not be there; later requests pay for it.
+    pub fn borrow(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Changes the share.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+}
+
+/// Parts of the extra-load share for the owner of a group and for the entry host.
+///
+/// The owner of a single replica has nowhere to send a second request; the entry host then gets
+/// the whole share, and half of it otherwise.
+///
+/// ```
+/// use sapphirerack_policy::split;
+///
+/// assert_eq!(split(0.05, 1), (0.0, 0.05));
+/// assert_eq!(split(0.05, 3), (0.025, 0.025));
+/// ```
+pub fn split(share: f64, replicas: usize) -> (f64, f64) {
+    if replicas < 2 { (0.0, share) } else { (share / 2.0, share / 2.0) }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,20 +15,40 @@
 //!
 //! # Modules
 //!
+//! - `budget`: the budget for hedges and retries
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `dispatch`: which job the owner sends to which target
+//! - `group`: the owner of a group of replicas, as a state machine
+//! - `job`: what goes into the owner of a group and what comes out
+//! - `lane`: one target as its owner sees it
+//! - `latency`: recent latencies, for adaptive delays
+//! - `ramp`: cold start of a target
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
 
+mod budget;
 mod clock;
 mod coverage;
+mod dispatch;
+mod group;
+mod job;
+mod lane;
+mod latency;
+mod ramp;
 mod rendezvous;
 mod route;
 mod snapshot;
 
+pub use crate::budget::{Budget, split};
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::group::Group;
+pub use crate::job::{Action, Admits, Denial, Job, Outcome, Tuning};
+pub use crate::lane::full_limit;
+pub use crate::latency::Latency;
+pub use crate::ramp::Ramp;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
--- /dev/null
+++ b/crates/policy/tests/group_properties.rs
@@ -0,0 +1,182 @@
+//! What holds for the owner of a group under any load, faults and cancellations.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use quickcheck::{Arbitrary, Gen};
+use sapphirerack_catalogue::{Target, TargetState};
+use sapphirerack_policy::{Action, Group, Job, Outcome, Tuning};
+
+const RUNS: u64 = 60;
+const SIZE: usize = 400;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Submit { timeout: u8 },
+    Finish { pick: u8, outcome: u8 },
+    Cancel { pick: u8 },
+    Pass { time: u8 },
+    Held { target: u8, holds: bool },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 16 {
+            0..6 => Self::Submit { timeout: u8::arbitrary(g) },
+            6..12 => Self::Finish { pick: u8::arbitrary(g), outcome: u8::arbitrary(g) },
+            12 => Self::Cancel { pick: u8::arbitrary(g) },
+            13 => Self::Held { target: u8::arbitrary(g) % 3, holds: bool::arbitrary(g) },
+            _ => Self::Pass { time: u8::arbitrary(g) % 8 },
+        }
+    }
+}
+
+fn targets() -> Vec<Target> {
+    let target = |i: u32| Target {
+        name: format!("t{i}").into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "munich".into(),
+        version: "v1".into(),
+        slots: 2 + i,
+        connections: 25,
+        cold: 1,
+        state: TargetState::Active,
+    };
+    (0..3).map(target).collect()
+}
+
+/// A group with what its targets and callers see.
+struct World {
+    group: Group,
+    now: Instant,
+    /// Requests that run at a target: attempt to target and deadline.
+    running: BTreeMap<u64, (String, Instant)>,
+    deadlines: BTreeMap<u64, Instant>,
+    replied: BTreeSet<u64>,
+    cancelled: BTreeSet<u64>,
+    tried: BTreeMap<u64, BTreeSet<String>>,
+    extra: u32,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            group: Group::new(&targets(), Tuning::default(), seed),
+            now: Instant::now(),
+            running: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            replied: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            tried: BTreeMap::new(),
+            extra: 0,
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Submit { timeout } => {
+                let id = self.deadlines.len() as u64;
+                let deadline = self.now + Duration::from_millis(u64::from(timeout));
+                self.deadlines.insert(id, deadline);
+                self.group.submit(self.now, Job { id, snapshot: 1, deadline });
+            }
+            Event::Finish { pick, outcome } => self.finish(pick, outcome),
+            Event::Cancel { pick } if !self.deadlines.is_empty() => {
+                let id = u64::from(pick) % self.deadlines.len() as u64;
+                self.cancelled.insert(id);
+                self.group.cancel(id);
+            }
+            Event::Cancel { .. } => {}
+            Event::Pass { time } => self.now += Duration::from_millis(u64::from(time)),
+            Event::Held { target, holds } => {
+                self.group.set_held(&format!("t{target}"), if holds { vec![1] } else { vec![2] });
+            }
+        }
+        let actions = self.group.step(self.now, &mut |_, _| true);
+        actions.into_iter().for_each(|a| self.take(a));
+        self.check();
+    }
+
+    fn finish(&mut self, pick: u8, outcome: u8) {
+        let Some(attempt) = self.running.keys().nth(usize::from(pick) % 16).copied() else {
+            return;
+        };
+        let outcome = match outcome % 16 {
+            0..10 => Outcome::Answered,
+            10 | 11 => Outcome::Failed,
+            12 => Outcome::NoSnapshot,
+            13 => Outcome::Cancelled,
+            14 => Outcome::Late,
+            _ => Outcome::Lost,
+        };
+        if outcome != Outcome::Lost {
+            self.running.remove(&attempt);
+        }
+        self.group.finished(self.now, attempt, outcome);
+    }
+
+    fn take(&mut self, action: Action) {
+        match action {
+            Action::Dispatch { attempt, job, target, extra } => {
+                let deadline = self.deadlines[&job];
+                assert!(deadline > self.now, "dispatched after its deadline");
+                assert!(!self.cancelled.contains(&job), "dispatched after its cancellation");
+                assert!(!self.replied.contains(&job), "dispatched after its answer");
+                let is_new = self.tried.entry(job).or_default().insert(target.to_string());
+                assert!(is_new, "sent twice to one target");
+                self.running.insert(attempt, (target.to_string(), deadline));
+                self.extra += u32::from(extra);
+            }
+            Action::Cancel { attempt, target } => {
+                if let Some((at, _)) = self.running.get(&attempt) {
+                    assert_eq!(*at, *target);
+                }
+            }
+            Action::Reply { job, result, .. } => {
+                assert!(!self.cancelled.contains(&job), "answered after its cancellation");
+                assert!(self.replied.insert(job), "answered twice");
+                if result == Err(sapphirerack_policy::Denial::Overloaded) {
+                    assert!(!self.tried.contains_key(&job), "not run is untrue");
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        for target in targets() {
+            let live = |(name, deadline): &&(String, Instant)| {
+                **name == *target.name && *deadline > self.now
+            };
+            let running = self.running.values().filter(live).count();
+            assert!(running <= (target.slots + 1) as usize, "limit of {} exceeded", target.name);
+        }
+        let jobs = self.deadlines.len() as f64;
+        let most = jobs * 0.05 + Tuning::default().burst;
+        assert!(f64::from(self.extra) <= most, "{} extra of {jobs}", self.extra);
+    }
+
+    /// Every job is answered or cancelled once all deadlines passed.
+    fn close(mut self) {
+        self.now += Duration::from_secs(1);
+        let actions = self.group.step(self.now, &mut |_, _| true);
+        actions.into_iter().for_each(|a| self.take(a));
+        let settled = |id: &u64| self.replied.contains(id) || self.cancelled.contains(id);
+        assert!(self.deadlines.keys().all(settled), "a job was forgotten");
+    }
+}
+
+#[test]
+fn limits_budget_and_answers_hold() {
+    for seed in 0..RUNS {
+        let mut random = Gen::from_size_and_seed(SIZE, seed);
+        let mut world = World::new(seed);
+
+        for _ in 0..SIZE * 4 {
+            world.apply(Event::arbitrary(&mut random));
+        }
+
+        world.close();
+    }
+}
