--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,9 +24,12 @@
 //! - `lane`: one target as its owner sees it
 //! - `latency`: recent latencies, for adaptive delays
 //! - `ramp`: cold start of a target
+//! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
+//! - `start`: whether a move may start, and its stages
+//! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod budget;
 mod clock;
@@ -36,10 +39,13 @@
 mod job;
 mod lane;
 mod latency;
+pub mod moves;
 mod ramp;
 mod rendezvous;
 mod route;
 mod snapshot;
+mod start;
+mod verdicts;
 
 pub use crate::budget::{Budget, split};
 pub use crate::clock::{Clock, ManualClock, SystemClock};
@@ -52,3 +58,4 @@
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
+pub use crate::verdicts::{Verdict, Verdicts};
