--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -24,9 +24,18 @@
         self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
-    /// Spends a token; false if there is none.
-    pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    /// Spends a token on a retry; false if there is none.
+    pub fn retry(&mut self) -> bool {
+        self.spend(0.0)
+    }
+
+    /// Spends a token on a hedge; false unless half of the burst stays for retries.
+    pub fn hedge(&mut self) -> bool {
+        self.spend(self.burst / 2.0)
+    }
+
+    fn spend(&mut self, reserve: f64) -> bool {
+        if self.tokens < reserve + 1.0 {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -44,8 +44,12 @@
             return;
         }
         self.schedule(job, None);
-        match lane {
-            Some(lane) if self.budget.spend() => self.dispatch(now, job, lane, true),
+        let mut spend = || match kind {
+            Extra::Hedge => self.budget.hedge(),
+            Extra::Retry => self.budget.retry(),
+        };
+        match lane.filter(|_| spend()) {
+            Some(lane) => self.dispatch(now, job, lane, true),
             _ if kind == Extra::Retry => self.reply(job, Err(failure)),
             _ => {}
         }
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -24,7 +24,7 @@
 
 impl Default for Tuning {
     fn default() -> Self {
-        Self { waiting: 1, extra: 0.05, burst: 8.0, quantile: 0.95 }
+        Self { waiting: 1, extra: 0.05, burst: 8.0, quantile: 0.98 }
     }
 }
 
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -11,9 +11,12 @@
 /// Connections that are kept free at a target for cancellations and health, by both owners.
 const CONTROL_CONNECTIONS: u32 = 2;
 
-/// Multiple of the median latency from which an answer is far too slow.
+/// Multiple of the median latency above which an answer is far too slow.
 const SLOW_FACTOR: u32 = 5;
 
+/// Multiple of the median latency above which an answer is no evidence of a warm target.
+const ORDINARY_FACTOR: u32 = 2;
+
 /// A target with its limits and what is known of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Lane {
@@ -72,9 +75,11 @@
         median: Option<Duration>,
         rng: &mut Rng,
     ) {
-        let is_slow = median.is_some_and(|m| time > m * SLOW_FACTOR);
+        let is_above = |factor| median.is_some_and(|m| time > m * factor);
+        let is_slow = is_above(SLOW_FACTOR);
         match outcome {
             Outcome::Answered | Outcome::Cancelled if is_slow => self.ramp.slowed(rng),
+            Outcome::Answered if is_above(ORDINARY_FACTOR) => {}
             Outcome::Answered => self.ramp.succeeded(rng),
             Outcome::Late => self.ramp.slowed(rng),
             Outcome::Failed | Outcome::Lost => self.ramp.failed(now, rng),
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -1,16 +1,20 @@
 //! Cold start of a target.
 //!
 //! A target that is new, back, or suddenly slow, shedding or failing is cold: it gets no more
-//! than its cold limit. Each step up takes a number of successes at the present level, with
-//! jitter, so that targets that warm together don't step together. A target that failed rests for
-//! a while that doubles with each further failure.
+//! than its cold limit. Each step up takes a number of answers in ordinary time at the present
+//! level, with jitter, so that targets that warm together don't step together; the first step
+//! takes the most, as nothing else tells that the target has become warm. A target that failed
+//! rests for a while that doubles with each further failure.
 
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 
-/// Successes that a step up takes for each request of the present level.
-const STEP: u32 = 8;
+/// Successes at the cold limit before the first step up.
+const COLD_SUCCESSES: u32 = 64;
+
+/// Successes before each further step up, and the most by which any step is delayed at random.
+const STEP_SUCCESSES: u32 = 16;
 
 /// Slow answers in a row after which a target is cold.
 const SLOW_RUN: u32 = 3;
@@ -109,6 +113,7 @@
 
     fn restart(&mut self, rng: &mut Rng) {
         self.successes = 0;
-        self.needed = self.level * STEP + rng.u32(0..STEP);
+        let base = if self.level == self.cold { COLD_SUCCESSES } else { STEP_SUCCESSES };
+        self.needed = base + rng.u32(0..STEP_SUCCESSES);
     }
 }
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -322,3 +322,30 @@
 
     assert_eq!(group.level("a"), 2, "two connections stay free for control");
 }
+
+#[test]
+fn slowing_service_gets_no_hedge_storm() {
+    let mut group = group(&["a", "b", "c"]);
+    let mut now = Instant::now();
+    warm(&mut group, &mut now, ms(4));
+    let mut running: Vec<(u64, Instant)> = Vec::new();
+    let (mut jobs, mut requests) = (0_u32, 0_u32);
+
+    for id in 0..2000 {
+        jobs += 1;
+        submit(&mut group, now, id, ms(500));
+        for (attempt, ..) in dispatched(&step(&mut group, now)) {
+            requests += 1;
+            let slower = 8 + u64::from(jobs) / 20;
+            running.push((attempt, now + ms(slower)));
+        }
+        now += ms(8);
+        let done: Vec<_> = running.extract_if(.., |(_, end)| *end <= now).collect();
+        done.iter().for_each(|(attempt, _)| group.finished(now, *attempt, Outcome::Answered));
+        step(&mut group, now);
+    }
+
+    let most = f64::from(jobs) * 0.025 + Tuning::default().burst;
+    assert!(requests > jobs / 2, "the service goes on");
+    assert!(f64::from(requests) <= f64::from(jobs) + most, "{requests} requests, {jobs} jobs");
+}
--- /dev/null
+++ b/crates/sapphirerack/tests/targets.rs
@@ -0,0 +1,97 @@
+//! What targets get, and what becomes of their bad answers.
+
+#![allow(clippy::unwrap_used)]
+
+mod query_support;
+
+use std::time::Duration;
+
+use query_support::{catalogue, is_complete, load, metric, plan, start};
+use sapphirerack_lab::target::{Behaviour, ColdStart, Overload, ReplyFault, ReplyKind};
+
+const SECOND: Duration = Duration::from_secs(1);
+const SERVICE: Duration = Duration::from_millis(2);
+
+#[test]
+fn limits_hold_at_targets_with_several_hosts() {
+    let plan = plan(catalogue(4, &["munich"; 3], SECOND), &["munich"; 3]);
+    let fleet = start(plan);
+
+    let answers = load(&fleet.hosts, 24, 60, SECOND);
+
+    assert!(answers.iter().flatten().any(is_complete));
+    for target in &fleet.targets {
+        let counters = target.counters();
+        assert!(counters.served > 100, "the load spreads");
+        assert!(counters.most_running <= 2, "slots exceeded");
+        assert!(counters.most_held <= 3, "more than one waits");
+        assert!(target.most_connections() <= 5, "connections: {}", target.most_connections());
+        assert_eq!(target.refused(), 0);
+    }
+}
+
+#[test]
+fn cold_targets_are_not_brought_down() {
+    let overload = Overload::FallOver(SECOND);
+    let cold = ColdStart { bears: 1, runs: 40, slow: 3.0, overload };
+    let behave = move |_: &_, _: &_, b| Behaviour { cold: Some(cold), service: SERVICE, ..b };
+    let plan = plan(catalogue(2, &["munich"; 3], SECOND), &["munich"; 2]);
+    let fleet = start(plan.with_behaviour(behave));
+
+    load(&fleet.hosts, 16, 60, SECOND);
+
+    assert!(fleet.targets.iter().all(|t| t.counters().overloads == 0), "a cold target fell over");
+    assert!(fleet.targets.iter().all(|t| !t.is_cold()), "all became warm");
+}
+
+/// One replica of three always answers badly; answers stay complete and true.
+fn bad_replica(kind: ReplyKind, reason: &str) {
+    let fault = ReplyFault { kind, share: 1.0 };
+    let behave = move |_: &_, target: &sapphirerack_catalogue::Target, b: Behaviour| {
+        let replies = if target.name.ends_with("-0") { vec![fault] } else { Vec::new() };
+        Behaviour { replies, service: SERVICE, ..b }
+    };
+    let plan = plan(catalogue(2, &["munich"; 3], SECOND), &["munich"]);
+    let fleet = start(plan.with_behaviour(behave));
+
+    let answers = load(&fleet.hosts, 2, 60, SECOND);
+
+    assert!(answers.iter().all(|a| a.as_ref().is_some_and(is_complete)), "a part is missing");
+    let failures = metric(&fleet.hosts, &format!("target_failures_total{{reason=\"{reason}\""));
+    assert!(failures > 0.0, "{reason} is counted");
+}
+
+#[test]
+fn garbage_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Garbage, "malformed");
+}
+
+#[test]
+fn half_a_body_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Cut, "connection lost");
+}
+
+#[test]
+fn huge_body_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Huge(3 << 20), "malformed");
+}
+
+#[test]
+fn answer_to_another_request_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Request, "malformed");
+}
+
+#[test]
+fn wrong_snapshot_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Snapshot, "wrong snapshot");
+}
+
+#[test]
+fn wrong_partitions_are_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Span, "wrong partitions");
+}
+
+#[test]
+fn reset_connection_is_a_failure_of_the_sub_query() {
+    bad_replica(ReplyKind::Reset, "connection lost");
+}
