--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,17 +24,20 @@
 //! - `lane`: one target as its owner sees it
 //! - `latency`: recent latencies, for adaptive delays
 //! - `ramp`: cold start of a target
+//! - `evidence`: evidence for and against a new version, from one host and from many
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
 //! - `snapshot`: which index snapshot a query is pinned to
 //! - `start`: whether a move may start, and its stages
+//! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
 mod budget;
 mod clock;
 mod coverage;
 mod dispatch;
+pub mod evidence;
 mod group;
 mod job;
 mod lane;
@@ -45,6 +48,7 @@
 mod route;
 mod snapshot;
 mod start;
+pub mod verdict;
 mod verdicts;
 
 pub use crate::budget::{Budget, split};
