--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
+//! - `scatter`: one query scattered to the owners of its shards
 //! - `snapshot`: which index snapshot a query is pinned to
 //! - `start`: whether a move may start, and its stages
 //! - `verdict`: sequential comparison of a new version with the old one
@@ -46,6 +47,7 @@
 mod ramp;
 mod rendezvous;
 mod route;
+mod scatter;
 mod snapshot;
 mod start;
 pub mod verdict;
@@ -60,6 +62,7 @@
 pub use crate::latency::Latency;
 pub use crate::ramp::Ramp;
 pub use crate::rendezvous::rank;
-pub use crate::route::{Host, owners};
+pub use crate::route::{Host, group_key, owners, ranked};
+pub use crate::scatter::{Ask, Candidate, Scatter, Setback};
 pub use crate::snapshot::{Held, SnapshotId, choose};
 pub use crate::verdicts::{Verdict, Verdicts};
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -6,9 +6,9 @@
 
 use std::net::SocketAddr;
 
-use sapphirerack_catalogue::{Catalogue, Name, Presence, Service, Shard, TargetState};
+use sapphirerack_catalogue::{Catalogue, Name, Presence, Service, Shard, Target, TargetState};
 
-use crate::rank;
+use crate::{Candidate, rank};
 
 /// Owners of one group that are tried: the first and its stand-in.
 const OWNERS: usize = 2;
@@ -31,23 +31,37 @@
     shard: &Shard,
     own: &str,
     live: &[Host],
-) -> Vec<Host> {
+) -> Vec<Candidate> {
     let mut centres: Vec<&Name> = data_centres(catalogue, shard).collect();
     centres.sort_by_key(|name| &***name != own);
-    let key = format!("{}/{}", service.name, shard.name);
+    let key = group_key(&service.name, &shard.name);
     let ranked = centres.into_iter().flat_map(|centre| {
-        let hosts: Vec<&Host> = live.iter().filter(|h| h.data_centre == *centre).collect();
-        rank(key.as_bytes(), &hosts, |h| h.name.as_bytes()).into_iter().take(OWNERS)
+        let replicas = replicas(shard, centre).count();
+        let hosts = ranked(&key, centre, live).into_iter().take(OWNERS);
+        hosts.map(move |host| Candidate { host: host.clone(), replicas })
     });
-    ranked.cloned().collect()
+    ranked.collect()
+}
+
+/// Key by which the hosts of a data centre are ranked for a shard's group.
+pub fn group_key(service: &str, shard: &str) -> String {
+    format!("{service}/{shard}")
+}
+
+/// Hosts of a data centre in order of preference for a group.
+pub fn ranked<'a>(key: &str, centre: &str, live: &'a [Host]) -> Vec<&'a Host> {
+    let hosts: Vec<&Host> = live.iter().filter(|h| *h.data_centre == *centre).collect();
+    rank(key.as_bytes(), &hosts, |h| h.name.as_bytes())
+}
+
+fn replicas<'a>(shard: &'a Shard, centre: &'a str) -> impl Iterator<Item = &'a Target> {
+    let active = |t: &&Target| t.state == TargetState::Active && *t.data_centre == *centre;
+    shard.targets.iter().filter(active)
 }
 
 /// Data centres that are in and hold an active replica, in the catalogue's order.
 fn data_centres<'a>(catalogue: &'a Catalogue, shard: &'a Shard) -> impl Iterator<Item = &'a Name> {
-    let holds = |name: &Name| {
-        let mut targets = shard.targets.iter();
-        targets.any(|t| t.state == TargetState::Active && t.data_centre == *name)
-    };
+    let holds = |name: &Name| replicas(shard, name).next().is_some();
     let present = catalogue.data_centres.iter().filter(|d| d.presence == Presence::In);
     present.map(|d| &d.name).filter(move |name| holds(name))
 }
--- /dev/null
+++ b/crates/policy/src/scatter.rs
@@ -0,0 +1,250 @@
+//! One query scattered to the owners of its shards, as a state machine.
+//!
+//! Every shard has candidates in order of preference: the owners and their stand-ins, the entry
+//! host's own data centre first. A candidate that refused without dispatching is replaced by the
+//! next one at no cost; one that may have dispatched is replaced within the budget, and one whose
+//! link broke is always replaced. A candidate that falls silent keeps its chance while the next
+//! one is asked. Where a group has a single replica, its owner can't hedge: the query then hedges
+//! across data centres after a high quantile of the service's latency.
+
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::Name;
+
+use crate::{Budget, Host};
+
+/// Refusals for lack of capacity after which a shard is given up.
+const OVERLOADS: usize = 2;
+
+/// A host that may be asked about a shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The host.
+    pub host: Host,
+    /// Replicas that its data centre has of the shard.
+    pub replicas: usize,
+}
+
+/// Why a candidate has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Setback {
+    /// It can't meet the deadline; nothing was dispatched.
+    Overloaded,
+    /// It is not the owner, or lacks the snapshot; nothing was dispatched.
+    Refused,
+    /// It may have dispatched.
+    Failed,
+    /// Its link broke.
+    Broken,
+}
+
+/// A request to a candidate of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ask {
+    /// Index of the shard.
+    pub shard: usize,
+    /// Index of the candidate.
+    pub candidate: usize,
+}
+
+#[derive(Debug)]
+struct State<'a> {
+    candidates: &'a [Candidate],
+    asked: Vec<bool>,
+    open: Vec<(usize, Instant)>,
+    overloads: usize,
+    hedged: bool,
+    done: bool,
+}
+
+/// A scattered query.
+#[derive(Debug)]
+pub struct Scatter<'a> {
+    states: Vec<State<'a>>,
+    undone: usize,
+    extra: u64,
+}
+
+impl<'a> Scatter<'a> {
+    /// A query with the candidates of each shard.
+    pub fn new(shards: impl IntoIterator<Item = &'a [Candidate]>) -> Self {
+        let state = |candidates: &'a [Candidate]| State {
+            candidates,
+            asked: vec![false; candidates.len()],
+            open: Vec::new(),
+            overloads: 0,
+            hedged: false,
+            done: false,
+        };
+        let states: Vec<State<'a>> = shards.into_iter().map(state).collect();
+        Self { undone: states.len(), states, extra: 0 }
+    }
+
+    /// First requests, one for each shard that has a candidate.
+    pub fn start(&mut self, now: Instant, suspect: &dyn Fn(&Host) -> bool) -> Vec<Ask> {
+        (0..self.states.len()).filter_map(|shard| self.ask(now, shard, None, suspect)).collect()
+    }
+
+    /// Whether nothing is open any more.
+    pub fn is_done(&self) -> bool {
+        self.undone == 0
+    }
+
+    /// Requests beyond the first that may have reached a target.
+    pub fn extra(&self) -> u64 {
+        self.extra
+    }
+
+    /// Takes note of an answer; returns the requests to withdraw, or `None` if it is too late.
+    pub fn answered(&mut self, ask: Ask) -> Option<Vec<Ask>> {
+        let state = self.states.get_mut(ask.shard).filter(|s| !s.done)?;
+        self.undone -= 1;
+        state.done = true;
+        let others = state.open.drain(..).map(|(candidate, _)| candidate);
+        let others = others.filter(|c| *c != ask.candidate);
+        Some(others.map(|candidate| Ask { candidate, ..ask }).collect())
+    }
+
+    /// Takes note of a setback; returns the next request for the shard if there is one.
+    pub fn failed(
+        &mut self,
+        now: Instant,
+        ask: Ask,
+        setback: Setback,
+        suspect: &dyn Fn(&Host) -> bool,
+        budget: &mut Budget,
+    ) -> Option<Ask> {
+        let state = self.states.get_mut(ask.shard).filter(|s| !s.done)?;
+        state.open.retain(|(candidate, _)| *candidate != ask.candidate);
+        let centre = &state.candidates[ask.candidate].host.data_centre;
+        let (skip, may) = match setback {
+            Setback::Refused => (None, true),
+            Setback::Overloaded => {
+                state.overloads += 1;
+                (Some(centre), state.overloads < OVERLOADS)
+            }
+            Setback::Failed => (Some(centre), state.open.is_empty() && budget.retry()),
+            Setback::Broken => {
+                let may = state.open.is_empty();
+                if may {
+                    budget.borrow();
+                }
+                (None, may)
+            }
+        };
+        let is_extra = matches!(setback, Setback::Failed | Setback::Broken);
+        let next = if may { self.ask(now, ask.shard, skip, suspect) } else { None };
+        self.extra += u64::from(is_extra && next.is_some());
+        let state = &mut self.states[ask.shard];
+        if next.is_none() && state.open.is_empty() {
+            state.done = true;
+            self.undone -= 1;
+        }
+        next
+    }
+
+    /// Asks others where a host is silent; the host may still answer.
+    pub fn silent(
+        &mut self,
+        now: Instant,
+        host: &Host,
+        suspect: &dyn Fn(&Host) -> bool,
+        budget: &mut Budget,
+    ) -> Vec<Ask> {
+        let waits = |s: &State<'_>| {
+            !s.done && s.open.len() == 1 && s.candidates[s.open[0].0].host.name == host.name
+        };
+        let shards: Vec<usize> =
+            (0..self.states.len()).filter(|i| waits(&self.states[*i])).collect();
+        let next = shards.into_iter().filter_map(|shard| {
+            let next = if budget.retry() { self.ask(now, shard, None, suspect) } else { None };
+            self.extra += u64::from(next.is_some());
+            next
+        });
+        next.collect()
+    }
+
+    /// Hedges, across data centres, the shards whose only replica there is slow.
+    pub fn hedge(
+        &mut self,
+        now: Instant,
+        delay: Duration,
+        suspect: &dyn Fn(&Host) -> bool,
+        budget: &mut Budget,
+    ) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        for shard in 0..self.states.len() {
+            let state = &self.states[shard];
+            let Some(centre) = due(state, now, delay) else { continue };
+            if !budget.hedge() {
+                return asks;
+            }
+            self.states[shard].hedged = true;
+            if let Some(ask) = self.ask(now, shard, Some(centre), suspect) {
+                self.extra += 1;
+                asks.push(ask);
+            }
+        }
+        asks
+    }
+
+    /// Time at which the next hedge is due.
+    pub fn next_hedge(&self, delay: Duration) -> Option<Instant> {
+        self.states.iter().filter_map(|s| hedge_time(s, delay)).min()
+    }
+
+    /// Requests that are open, with the host and the time of the request.
+    pub fn open(&self) -> impl Iterator<Item = (Ask, &Host, Instant)> {
+        let open = |(shard, state): (usize, &'_ State<'a>)| {
+            let candidates = state.candidates;
+            let asks: Vec<_> = state.open.clone();
+            asks.into_iter().map(move |(candidate, at)| {
+                (Ask { shard, candidate }, &candidates[candidate].host, at)
+            })
+        };
+        self.states.iter().enumerate().filter(|(_, s)| !s.done).flat_map(open)
+    }
+
+    /// Asks the best candidate not yet asked, those that are suspected last.
+    fn ask(
+        &mut self,
+        now: Instant,
+        shard: usize,
+        skip: Option<&Name>,
+        suspect: &dyn Fn(&Host) -> bool,
+    ) -> Option<Ask> {
+        let state = &mut self.states[shard];
+        let fresh: Vec<usize> = (0..state.candidates.len())
+            .filter(|i| !state.asked[*i] && Some(&state.candidates[*i].host.data_centre) != skip)
+            .collect();
+        let trusted = fresh.iter().find(|i| !suspect(&state.candidates[**i].host));
+        let candidate = trusted.or(fresh.first()).copied();
+        match candidate {
+            Some(candidate) => {
+                state.asked[candidate] = true;
+                state.open.push((candidate, now));
+                Some(Ask { shard, candidate })
+            }
+            None if state.open.is_empty() && !state.asked.iter().any(|a| *a) => {
+                state.done = true;
+                self.undone -= 1;
+                None
+            }
+            None => None,
+        }
+    }
+}
+
+/// Data centre of the only request of a shard if it is to be hedged by now.
+fn due<'a>(state: &State<'a>, now: Instant, delay: Duration) -> Option<&'a Name> {
+    let candidates: &'a [Candidate] = state.candidates;
+    hedge_time(state, delay)
+        .filter(|at| *at <= now)
+        .map(|_| &candidates[state.open[0].0].host.data_centre)
+}
+
+fn hedge_time(state: &State<'_>, delay: Duration) -> Option<Instant> {
+    let [(candidate, at)] = state.open[..] else { return None };
+    let single = state.candidates[candidate].replicas == 1;
+    (single && !state.done && !state.hedged).then_some(at + delay)
+}
