--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -8,20 +8,21 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use sapphirerack_catalogue::Map;
+use sapphirerack_policy::Clock;
 use sapphirerack_protocol::{Message, Reply, Request};
 
+use crate::contacts::Contacts;
 use crate::links::{LinkId, Links};
 
-/// A request to one peer, known to the asker by `index`.
+/// A request to one peer.
 pub(crate) struct Call {
-    pub index: usize,
     pub peer: SocketAddr,
     pub request: Request,
 }
 
 /// Reply to a call; `None` if the link to the peer broke first.
 pub(crate) struct Answer {
-    pub index: usize,
+    pub id: u64,
     pub reply: Option<Reply>,
 }
 
@@ -44,7 +45,6 @@
 
 struct Pending {
     peer: SocketAddr,
-    index: usize,
     answers: flume::Sender<Answer>,
 }
 
@@ -55,13 +55,53 @@
     inbound: flume::Sender<Inbound>,
     next: AtomicU64,
     pending: Mutex<Map<u64, Pending>>,
+    contacts: Contacts,
 }
 
 impl Calls {
     /// Calls over `links`; requests to the address `own` go to `inbound`.
-    pub(crate) fn new(own: SocketAddr, links: Links, inbound: flume::Sender<Inbound>) -> Arc<Self> {
+    pub(crate) fn new(
+        own: SocketAddr,
+        links: Links,
+        inbound: flume::Sender<Inbound>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
         let next = AtomicU64::new(0);
-        Arc::new(Self { own, links, inbound, next, pending: Mutex::default() })
+        let contacts = Contacts::new(clock);
+        Arc::new(Self { own, links, inbound, next, pending: Mutex::default(), contacts })
+    }
+
+    /// When other hosts were last heard.
+    pub(crate) fn contacts(&self) -> &Contacts {
+        &self.contacts
+    }
+
+    /// Whether an address is this host's own.
+    pub(crate) fn is_own(&self, peer: SocketAddr) -> bool {
+        peer == self.own
+    }
+
+    /// Asks a host for a sign of life.
+    pub(crate) fn ping(&self, peer: SocketAddr) {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        self.links.request([(peer, Message::Request { id, body: Request::Ping })]);
+    }
+
+    /// Tells those who were asked that their answers are no longer wanted.
+    pub(crate) fn withdraw(&self, ids: &[u64]) {
+        let mut remote = Vec::new();
+        for id in ids {
+            let Some(call) = self.pending().remove(id) else { continue };
+            if call.peer == self.own {
+                // The receiver goes away only when the process ends.
+                let _ = self.inbound.send(Inbound::Cancel(ReplyTo::Local(*id)));
+            } else {
+                remote.push((call.peer, Message::Cancel { id: *id }));
+            }
+        }
+        if !remote.is_empty() {
+            self.links.request(remote);
+        }
     }
 
     /// Sends calls; their answers go to `answers`. Returns the ids, to withdraw them.
@@ -92,19 +132,21 @@
 
     /// Takes a reply that came from `peer`.
     pub(crate) fn resolve(&self, id: u64, peer: SocketAddr, reply: Reply) {
+        self.contacts.hear(peer);
         let mut pending = self.pending();
         if pending.get(&id).is_some_and(|p| p.peer == peer)
             && let Some(call) = pending.remove(&id)
         {
-            let _ = call.answers.send(Answer { index: call.index, reply: Some(reply) });
+            let _ = call.answers.send(Answer { id, reply: Some(reply) });
         }
     }
 
     /// Answers every call to `peer` with a broken link.
     pub(crate) fn fail(&self, peer: SocketAddr) {
-        self.pending().retain(|_, call| {
+        self.contacts.suspect(peer);
+        self.pending().retain(|id, call| {
             if call.peer == peer {
-                let _ = call.answers.send(Answer { index: call.index, reply: None });
+                let _ = call.answers.send(Answer { id: *id, reply: None });
             }
             call.peer != peer
         });
@@ -120,7 +162,7 @@
 
     fn register(&self, call: &Call, answers: &flume::Sender<Answer>) -> u64 {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let pending = Pending { peer: call.peer, index: call.index, answers: answers.clone() };
+        let pending = Pending { peer: call.peer, answers: answers.clone() };
         self.pending().insert(id, pending);
         id
     }
--- /dev/null
+++ b/crates/host/src/collect.rs
@@ -0,0 +1,274 @@
+//! Drives one scattered query: sends what the state machine asks for and collects the parts.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Map, Name, Service};
+use sapphirerack_policy::{Ask, Budget, Clock, Coverage, Host, Latency, Scatter, Setback, split};
+use sapphirerack_protocol::{Failure, Part, Reply, Request, SubQuery, SubReply};
+
+use crate::calls::{Answer, Call, Calls};
+use crate::contacts::PING_AFTER;
+use crate::gather::Gathered;
+use crate::routes::Route;
+use crate::settings::QuerySettings;
+use crate::snapshots::Snapshots;
+
+/// Part of a query's time after which a silent host is suspected, and its bounds.
+const SUSPECT_PART: u32 = 5;
+const SUSPECT_LEAST: Duration = Duration::from_millis(20);
+const SUSPECT_MOST: Duration = Duration::from_millis(100);
+
+/// What is kept of a service between queries.
+struct Record {
+    budget: Budget,
+    latency: Latency,
+}
+
+/// Sends sub-queries and collects their answers.
+pub(crate) struct Collector {
+    clock: Arc<dyn Clock>,
+    calls: Arc<Calls>,
+    snapshots: Arc<Snapshots>,
+    settings: QuerySettings,
+    records: Mutex<Map<Name, Record>>,
+}
+
+/// A query on its way.
+struct Run<'a> {
+    collector: &'a Collector,
+    service: &'a Service,
+    query: SubQuery,
+    scatter: Scatter<'a>,
+    route: &'a Route,
+    asks: Map<u64, (Ask, Instant)>,
+    sender: flume::Sender<Answer>,
+    deadline: Instant,
+    suspect_after: Duration,
+    coverage: Coverage,
+    parts: Vec<(Name, Part)>,
+    sent: u64,
+    extra: u64,
+}
+
+impl Collector {
+    pub(crate) fn new(
+        clock: Arc<dyn Clock>,
+        calls: Arc<Calls>,
+        snapshots: Arc<Snapshots>,
+        settings: QuerySettings,
+    ) -> Self {
+        Self { clock, calls, snapshots, settings, records: Mutex::default() }
+    }
+
+    /// Runs a query until it is complete, nobody is left to ask, or its deadline passes.
+    ///
+    /// `query` names no shard yet.
+    pub(crate) fn run(
+        &self,
+        service: &Service,
+        route: &Route,
+        query: SubQuery,
+        deadline: Instant,
+    ) -> Gathered {
+        let (sender, answers) = flume::unbounded();
+        let timeout = deadline.saturating_duration_since(self.clock.now());
+        let mut run = Run {
+            collector: self,
+            service,
+            query,
+            scatter: Scatter::new(route.iter().map(Vec::as_slice)),
+            route,
+            asks: Map::default(),
+            sender,
+            deadline,
+            suspect_after: (timeout / SUSPECT_PART).clamp(SUSPECT_LEAST, SUSPECT_MOST),
+            coverage: Coverage::default(),
+            parts: Vec::new(),
+            sent: 0,
+            extra: 0,
+        };
+        run.go(&answers);
+        run.end()
+    }
+
+    /// Works with what is kept of a service.
+    fn record<T>(&self, run: &Run<'_>, work: impl FnOnce(&mut Record) -> T) -> T {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let shards = run.service.shards.len() as f64;
+        let tuning = self.settings.tuning();
+        let record = records.entry(run.service.name.clone()).or_insert_with(|| Record {
+            budget: Budget::new(0.0, tuning.burst + shards),
+            latency: Latency::new(tuning.quantile),
+        });
+        work(record)
+    }
+
+    fn is_suspect(&self, host: &Host) -> bool {
+        self.calls.contacts().is_suspect(host.address)
+    }
+}
+
+impl Run<'_> {
+    fn go(&mut self, answers: &flume::Receiver<Answer>) {
+        let collector = self.collector;
+        for peer in collector.calls.contacts().lost() {
+            collector.calls.ping(peer);
+        }
+        self.earn();
+        let asks = self.scatter.start(collector.clock.now(), &|h| collector.is_suspect(h));
+        self.send(asks);
+        while !self.scatter.is_done() {
+            let now = collector.clock.now();
+            if now >= self.deadline {
+                return;
+            }
+            match answers.recv_deadline(self.wake(now)) {
+                Ok(answer) => self.take(answer),
+                Err(_) => self.look(),
+            }
+        }
+    }
+
+    /// Earns the entry host's part of the budget for the query's sub-queries.
+    fn earn(&mut self) {
+        let replicas = self.route.first().and_then(|c| c.first()).map_or(0, |c| c.replicas);
+        let share = split(self.collector.settings.extra, replicas).1;
+        let shards = self.service.shards.len();
+        self.collector.record(self, |r| {
+            r.budget.set_share(share);
+            (0..shards).for_each(|_| r.budget.earn());
+        });
+    }
+
+    fn wake(&self, now: Instant) -> Instant {
+        let delay = self.collector.record(self, |r| r.latency.high());
+        let hedge = delay.and_then(|d| self.scatter.next_hedge(d)).filter(|at| *at > now);
+        self.deadline.min(now + PING_AFTER).min(hedge.unwrap_or(self.deadline))
+    }
+
+    fn send(&mut self, asks: Vec<Ask>) {
+        if asks.is_empty() {
+            return;
+        }
+        let now = self.collector.clock.now();
+        let call = |ask: &Ask| Call {
+            peer: self.host(*ask).address,
+            request: Request::Search(SubQuery {
+                shard: self.service.shards[ask.shard].name.clone(),
+                ..self.query.clone()
+            }),
+        };
+        let calls = asks.iter().map(call).collect();
+        let ids = self.collector.calls.send(calls, &self.sender);
+        self.sent += ids.len() as u64;
+        self.asks.extend(ids.into_iter().zip(asks.into_iter().map(|ask| (ask, now))));
+    }
+
+    fn host(&self, ask: Ask) -> &Host {
+        &self.route[ask.shard][ask.candidate].host
+    }
+
+    fn take(&mut self, answer: Answer) {
+        let Some((ask, at)) = self.asks.remove(&answer.id) else { return };
+        let setback = match answer.reply {
+            Some(Reply::Found(reply)) => match self.accept(ask, reply) {
+                Ok(()) => {
+                    let time = self.collector.clock.now().saturating_duration_since(at);
+                    self.collector.record(self, |r| r.latency.record(time));
+                    return;
+                }
+                Err(setback) => setback,
+            },
+            _ => {
+                self.collector.calls.contacts().suspect(self.host(ask).address);
+                Setback::Broken
+            }
+        };
+        let (now, collector) = (self.collector.clock.now(), self.collector);
+        let mut scatter = std::mem::take(&mut self.scatter);
+        let next = collector.record(self, |r| {
+            scatter.failed(now, ask, setback, &|h| collector.is_suspect(h), &mut r.budget)
+        });
+        self.scatter = scatter;
+        self.send(next.into_iter().collect());
+    }
+
+    /// Takes a part into the answer if it is of the snapshot and overlaps no other.
+    fn accept(&mut self, ask: Ask, reply: SubReply) -> Result<(), Setback> {
+        let shard = &self.service.shards[ask.shard].name;
+        let centre = &self.host(ask).data_centre;
+        self.collector.snapshots.learn(&self.service.name, shard, centre, reply.held);
+        self.extra += u64::from(reply.extra);
+        let part = reply.outcome.map_err(setback)?;
+        if part.snapshot != self.query.snapshot {
+            return Err(Setback::NoSnapshot);
+        }
+        let Some(others) = self.scatter.answered(ask) else { return Ok(()) };
+        if self.coverage.add(part.span) {
+            self.parts.push((shard.clone(), part));
+        }
+        self.withdraw(|other| others.contains(other));
+        Ok(())
+    }
+
+    /// Looks after silent hosts and slow shards.
+    fn look(&mut self) {
+        let (now, collector) = (self.collector.clock.now(), self.collector);
+        let contacts = collector.calls.contacts();
+        let mut silent: Vec<Host> = Vec::new();
+        let remote = |host: &Host| !collector.calls.is_own(host.address);
+        for (_, host, asked) in self.scatter.open().filter(|(_, h, _)| remote(h)) {
+            if contacts.ping_due(host.address, asked) {
+                collector.calls.ping(host.address);
+            }
+            if contacts.is_silent(host.address, self.suspect_after) && !silent.contains(host) {
+                contacts.suspect(host.address);
+                silent.push(host.clone());
+            }
+        }
+        let mut scatter = std::mem::take(&mut self.scatter);
+        let asks = collector.record(self, |r| {
+            let suspect = |h: &Host| collector.is_suspect(h);
+            let mut asks = Vec::new();
+            for host in &silent {
+                asks.extend(scatter.silent(now, host, &suspect, &mut r.budget));
+            }
+            if let Some(delay) = r.latency.high() {
+                asks.extend(scatter.hedge(now, delay, &suspect, &mut r.budget));
+            }
+            asks
+        });
+        self.scatter = scatter;
+        self.send(asks);
+    }
+
+    /// Withdraws the open requests that match.
+    fn withdraw(&mut self, matches: impl Fn(&Ask) -> bool) {
+        let ids: Vec<u64> =
+            self.asks.extract_if(|_, (ask, _)| matches(ask)).map(|(id, _)| id).collect();
+        self.collector.calls.withdraw(&ids);
+    }
+
+    fn end(mut self) -> Gathered {
+        self.withdraw(|_| true);
+        Gathered {
+            snapshot: self.query.snapshot,
+            coverage: self.coverage,
+            cut: !self.scatter.is_done(),
+            parts: self.parts,
+            sent: self.sent,
+            extra: self.extra + self.scatter.extra(),
+        }
+    }
+}
+
+fn setback(failure: Failure) -> Setback {
+    match failure {
+        Failure::Overloaded => Setback::Overloaded,
+        Failure::NotOwner => Setback::NotOwner,
+        Failure::NoSnapshot => Setback::NoSnapshot,
+        Failure::Timeout | Failure::Target => Setback::Failed,
+        Failure::Link => Setback::Broken,
+    }
+}
--- a/crates/host/src/lanes.rs
+++ b/crates/host/src/lanes.rs
@@ -19,6 +19,9 @@
 /// Status of a target that does not hold the snapshot.
 const CONFLICT: u16 = 409;
 
+/// Failure of an answer that covers other partitions than the catalogue says.
+pub(crate) const WRONG_PARTITIONS: &str = "wrong partitions";
+
 /// A request to a target.
 pub(crate) struct Errand {
     pub attempt: u64,
@@ -134,11 +137,11 @@
 
     fn accept(&self, query: &SubQuery, found: Found) -> Ending {
         let failure = match (found.snapshot == query.snapshot, found.span == self.span) {
-            (false, _) => Some("wrong snapshot"),
-            (true, false) => Some("wrong partitions"),
             (true, true) => None,
+            (true, false) => Some(WRONG_PARTITIONS),
+            (false, _) => Some("wrong snapshot"),
         };
-        let outcome = if failure.is_none() { Outcome::Answered } else { Outcome::NoSnapshot };
+        let outcome = if failure.is_none() { Outcome::Answered } else { Outcome::Failed };
         Ending { outcome, found: Some(found), failure }
     }
 }
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -16,9 +16,11 @@
 use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
-use crate::config::Config;
-use crate::lanes::{Ending, Errand, Lane, Report, Reporter};
+use crate::config::View;
+use crate::lanes::{Ending, Errand, Lane, Report, Reporter, WRONG_PARTITIONS};
 use crate::metrics::Metrics;
+use crate::routing::Routing;
+use crate::spans::Spans;
 use crate::versions::{self, Versions};
 use crate::{Error, Result};
 
@@ -40,7 +42,7 @@
 /// What the owner works with.
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
-    pub config: Arc<Config>,
+    pub routing: Arc<Routing>,
     pub calls: Arc<Calls>,
     pub versions: Arc<Versions>,
     pub metrics: Arc<Metrics>,
@@ -59,7 +61,7 @@
     jobs: Map<u64, Open>,
     by_reply: Map<ReplyTo, u64>,
     next: u64,
-    version: u64,
+    view: Arc<View>,
 }
 
 /// A group with the threads of its targets.
@@ -69,6 +71,7 @@
     span: sapphirerack_catalogue::Span,
     deadline: Duration,
     sent: Map<u64, Sent>,
+    spans: Spans,
     wake: Option<Instant>,
 }
 
@@ -85,6 +88,7 @@
     request: Arc<str>,
     query: Arc<SubQuery>,
     version: Name,
+    target: Name,
     cancelled: bool,
     part: Option<Part>,
 }
@@ -101,7 +105,7 @@
             jobs: Map::default(),
             by_reply: Map::default(),
             next: 0,
-            version: 0,
+            view: Arc::default(),
         }
     }
 
@@ -158,11 +162,11 @@
 
     /// Brings the groups in line with the catalogue in force.
     fn refresh(&mut self) {
-        let view = self.parts.config.view();
-        if view.version == self.version {
+        let view = self.parts.routing.view();
+        if Arc::ptr_eq(&view, &self.view) {
             return;
         }
-        self.version = view.version;
+        self.view = view.clone();
         let places = std::mem::take(&mut self.places);
         for ((service, shard), place) in places {
             let Some(place) = place else { continue };
@@ -207,7 +211,7 @@
         if let Some(place) = self.places.get(&key) {
             return place.filter(|p| !self.groups[*p].lanes.is_empty());
         }
-        let view = self.parts.config.view();
+        let view = self.parts.routing.view();
         let entry = view.catalogue.service(service)?;
         let limit = entry.limits.deadline;
         let entry = entry.shards.iter().find(|s| s.name == *shard)?;
@@ -236,6 +240,7 @@
             span,
             deadline,
             sent: Map::default(),
+            spans: Spans::default(),
             wake: None,
         });
         place
@@ -282,10 +287,16 @@
         }
     }
 
-    fn finished(&mut self, place: usize, attempt: u64, time: Duration, ending: Ending) {
+    fn finished(&mut self, place: usize, attempt: u64, time: Duration, mut ending: Ending) {
         let now = self.parts.clock.now();
-        let Replicas { group, sent, .. } = &mut self.groups[place];
+        let Replicas { group, sent, spans, lanes, .. } = &mut self.groups[place];
         let Some(entry) = sent.get_mut(&attempt) else { return };
+        if let Some(found) = &ending.found
+            && ending.failure == Some(WRONG_PARTITIONS)
+            && spans.agree(found, &entry.target, lanes.len())
+        {
+            (ending.outcome, ending.failure) = (Outcome::Answered, None);
+        }
         let outcome = match ending.outcome {
             Outcome::Failed if entry.cancelled => Outcome::Cancelled,
             outcome => outcome,
@@ -357,6 +368,7 @@
             request: request.clone(),
             query: open.query.clone(),
             version: lane.target.version.clone(),
+            target: target.clone(),
             cancelled: false,
             part: None,
         };
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -13,9 +13,13 @@
 use crate::gossip::Gossip;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
+use crate::move_front::MoveFront;
+use crate::moves::{self, Moves};
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::routing::Routing;
+use crate::steps::Steps;
 use crate::versions::Versions;
 use crate::{Result, Settings, config, inbox, links, owner, peers};
 
@@ -53,14 +57,15 @@
 
     let (links, poller) = links::bind(settings.listen.hosts)?;
     let (inbound, requests) = flume::unbounded();
-    let calls = Calls::new(settings.listen.hosts, links, inbound.clone());
+    let calls = Calls::new(settings.listen.hosts, links, inbound.clone(), clock.clone());
     poller.spawn(inbox::handler(calls.clone(), inbound))?;
     let versions = Arc::new(Versions::default());
+    let routing = Routing::new(config.clone(), clock.clone());
     let parts = owner::Parts {
         clock: clock.clone(),
-        config: config.clone(),
+        routing: routing.clone(),
         calls: calls.clone(),
-        versions,
+        versions: versions.clone(),
         metrics: metrics.clone(),
         data_centre: settings.data_centre.clone(),
         tuning: settings.queries.tuning(),
@@ -76,9 +81,26 @@
     gossip.spawn()?;
 
     let changes = Arc::new(Changes::new(store, config.clone()));
-    let operators = Operators::new(config.clone(), peers.clone(), metrics.clone(), changes);
+    let steps = Steps { changes: changes.clone(), routing: routing.clone() }.spawn()?;
+    let moves = Moves::spawn(moves::Parts {
+        clock: clock.clone(),
+        config: config.clone(),
+        routing: routing.clone(),
+        peers: peers.clone(),
+        versions,
+        gossip,
+        steps,
+    })?;
+    let front = MoveFront {
+        config: config.clone(),
+        routing: routing.clone(),
+        changes: changes.clone(),
+        moves,
+    };
+    let operators = Operators::new(config, peers.clone(), metrics.clone(), changes, front);
     let operators = operators.serve(settings.listen.operators)?;
-    let gather = Gather::new(clock, config, peers, calls, metrics.clone());
+    let gather =
+        Gather::new(clock, routing, peers, calls, metrics.clone(), settings.queries.clone());
     let entry = Entry::new(gather, metrics, settings.limits.clone());
     let callers = entry.serve(settings.listen.callers)?;
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,24 +2,159 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: lab demo";
+use getopts::{Matches, Options};
+use sapphirerack_lab::load::{LoadError, LoadFile};
+use sapphirerack_lab::slopes::Slope;
+use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
+use serde::Serialize;
+
+const USAGE: &str = "usage: lab demo
+       lab load [--json FILE] LOAD_FILE
+       lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
+       lab slopes [--json FILE] [--only EXPERIMENT]";
+
+/// The load file of `lab bench`.
+const BENCH: &str = include_str!("../loads/bench.json");
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("{0}\n{USAGE}")]
+    Usage(String),
+    #[error("open {0}: {1}")]
+    File(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Load(String, LoadError),
+}
 
 fn main() -> ExitCode {
     env_logger::init();
-    let command = std::env::args().nth(1);
-    match command.as_deref() {
-        Some("demo") => {
-            // The shipped binary is built into the same folder.
-            let program = std::env::current_exe().unwrap().with_file_name("sapphirerack");
-            let summary = sapphirerack_lab::demo::run(&program);
-            println!("{}", serde_json::to_string(&summary).unwrap());
-            ExitCode::SUCCESS
-        }
-        _ => {
-            eprintln!("{USAGE}");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lab: {e}");
             ExitCode::from(2)
         }
     }
 }
+
+fn run(args: &[String]) -> Result<(), Error> {
+    let (command, rest) = args.split_first().ok_or_else(|| Error::Usage("no command".into()))?;
+    let matches = options().parse(rest).map_err(|e| Error::Usage(e.to_string()))?;
+    match command.as_str() {
+        "demo" => {
+            println!("{}", serde_json::to_string(&demo::run(&program())).unwrap());
+            Ok(())
+        }
+        "load" => {
+            let [path] = matches.free.as_slice() else {
+                return Err(Error::Usage("expected one load file".into()));
+            };
+            let text = std::fs::read_to_string(path).map_err(|e| Error::File(path.clone(), e))?;
+            let file = load::from_text(&text).map_err(|e| Error::Load(path.clone(), e))?;
+            measure(&file, &matches)
+        }
+        "bench" => measure(&bench(&matches)?, &matches),
+        "slopes" => slopes(&matches),
+        other => Err(Error::Usage(format!("unknown command {other:?}"))),
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "json", "write one JSON line for each run to a file", "FILE");
+    options.optopt("", "repeats", "runs of each combination", "N");
+    options.optopt("", "seconds", "seconds that are measured", "N");
+    options.optopt("", "deployment", "zeugenwerk, castlegate or group", "NAME");
+    options.optmulti("", "only", "only this variant; may be repeated", "VARIANT");
+    options
+}
+
+/// The shipped binary, built into the same folder.
+fn program() -> PathBuf {
+    std::env::current_exe().unwrap().with_file_name("sapphirerack")
+}
+
+fn bench(matches: &Matches) -> Result<LoadFile, Error> {
+    let number = |name: &str| -> Result<Option<u32>, Error> {
+        matches.opt_get(name).map_err(|e| Error::Usage(format!("--{name}: {e}")))
+    };
+    let mut file = load::from_text(BENCH).map_err(|e| Error::Load("bench".into(), e))?;
+    if let Some(repeats) = number("repeats")? {
+        file.repeats = repeats;
+    }
+    if let Some(seconds) = number("seconds")? {
+        file.duration = std::time::Duration::from_secs(seconds.into());
+    }
+    if let Some(name) = matches.opt_str("deployment") {
+        file.deployment = serde_json::from_value(name.into())
+            .map_err(|e| Error::Usage(format!("--deployment: {e}")))?;
+        let first = &file.deployment.plan().catalogue.services[0];
+        file.mix[0].service = first.name.clone();
+    }
+    let only = matches.opt_strs("only");
+    if !only.is_empty() {
+        file.variants.retain(|v| only.iter().any(|name| **name == *v.name));
+    }
+    if file.variants.is_empty() || file.repeats == 0 {
+        return Err(Error::Usage("nothing to run".into()));
+    }
+    Ok(file)
+}
+
+fn measure(file: &LoadFile, matches: &Matches) -> Result<(), Error> {
+    let mut lines = Lines::open(matches)?;
+    let runs = experiment::run(&program(), file, |run| lines.write(run));
+    print!("{}", report::table(&runs));
+    Ok(())
+}
+
+/// An experiment that measures slopes.
+type Experiment = fn(&Path) -> Vec<Slope>;
+
+const EXPERIMENTS: [(&str, Experiment); 6] = [
+    ("search", slope_search::measure),
+    ("catalogue", slope_control::catalogue),
+    ("peers", slope_control::peers),
+    ("hosts", slope_control::hosts),
+    ("links", slope_control::links),
+    ("changes", slope_control::changes),
+];
+
+fn slopes(matches: &Matches) -> Result<(), Error> {
+    let only = matches.opt_strs("only");
+    let mut lines = Lines::open(matches)?;
+    let mut all = Vec::new();
+    for (name, measure) in EXPERIMENTS {
+        if only.is_empty() || only.iter().any(|o| o == name) {
+            let measured = measure(&program());
+            measured.iter().for_each(|slope| lines.write(slope));
+            all.extend(measured);
+        }
+    }
+    print!("{}", slopes::table(&all));
+    Ok(())
+}
+
+/// Where JSON lines go.
+struct Lines(Box<dyn Write>);
+
+impl Lines {
+    fn open(matches: &Matches) -> Result<Self, Error> {
+        let Some(path) = matches.opt_str("json") else {
+            return Ok(Self(Box::new(std::io::stdout())));
+        };
+        let file = std::fs::File::create(&path).map_err(|e| Error::File(path, e))?;
+        Ok(Self(Box::new(file)))
+    }
+
+    fn write(&mut self, value: &impl Serialize) {
+        let line = serde_json::to_string(value).unwrap();
+        writeln!(self.0, "{line}").unwrap();
+    }
+}
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -5,6 +5,9 @@
 //! sub-query is split between the two places that can send extra requests, so that the sum holds:
 //! see [`split`].
 
+/// Debt that a budget may have, in bursts.
+const CREDIT: f64 = 4.0;
+
 /// Tokens for extra requests.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -29,6 +32,11 @@
         self.spend(0.0)
     }
 
+    /// Whether there is a token for a retry.
+    pub fn can_retry(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Spends a token on a hedge; false unless half of the burst stays for retries.
     pub fn hedge(&mut self) -> bool {
         self.spend(self.burst / 2.0)
@@ -42,9 +50,10 @@
         true
     }
 
-    /// Spends a token that may not be there; later requests pay for it.
-    pub fn borrow(&mut self) {
-        self.tokens -= 1.0;
+    /// Spends a token that may not be there, up to a debt of a few bursts; later hedges and
+    /// retries pay for it.
+    pub fn borrow(&mut self) -> bool {
+        self.spend(-self.burst * CREDIT)
     }
 
     /// Changes the share.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::time::Instant;
 
-use crate::group::{Attempt, Extra, Group, Work};
+use crate::group::{Attempt, Extra, Group, Work, is_too_long};
 use crate::{Action, Admits, Denial};
 
 /// Most requests to targets for one job.
@@ -18,6 +18,10 @@
             let started = self.jobs.get(&job).is_some_and(|w| !w.tried.is_empty());
             self.reply(job, Err(if started { Denial::Timeout } else { Denial::Overloaded }));
         }
+        let start = self.earliest_start(now);
+        let blocked = |(deadline, _): &&(Instant, u64)| is_too_long(now, start, *deadline);
+        let blocked: Vec<u64> = self.queue.iter().filter(blocked).map(|(_, job)| *job).collect();
+        blocked.into_iter().for_each(|job| self.reply(job, Err(Denial::Overloaded)));
         let Some(median) = self.latency.median() else { return };
         while let Some((deadline, job)) = self.queue.first().copied()
             && deadline < now + median
@@ -68,10 +72,13 @@
     /// The least loaded target that may be sent the job now.
     fn place(&mut self, now: Instant, job: u64, admits: Admits<'_>) -> Option<usize> {
         let work = self.jobs.get(&job)?;
+        // A target that failed is tried again only while a retry elsewhere can be paid for.
+        let may_fail = self.budget.can_retry() || !self.lanes.iter().any(|l| l.ramp.is_proven());
         let mut best: Option<(usize, f64)> = None;
         let mut ties = 1;
         for (i, lane) in self.lanes.iter().enumerate() {
-            let is_free = lane.is_free(now, work.job.snapshot);
+            let is_trusted = may_fail || lane.ramp.is_proven();
+            let is_free = is_trusted && lane.is_free(now, work.job.snapshot);
             if !is_free || work.tried.contains(lane.name()) || !admits(job, &lane.target) {
                 continue;
             }
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -63,6 +63,15 @@
     pub(crate) actions: Vec<Action>,
 }
 
+/// Part of a job's time for which it waits at most while no target takes any.
+const BLOCKED_PART: u32 = 4;
+
+/// Whether a job had better be sent elsewhere than wait for a target until `start`.
+pub(crate) fn is_too_long(now: Instant, start: Option<Instant>, deadline: Instant) -> bool {
+    let patience = deadline.saturating_duration_since(now) / BLOCKED_PART;
+    start.is_some_and(|at| at > now + patience)
+}
+
 impl Group {
     /// Group of the given targets, all of them cold.
     pub fn new(targets: &[Target], tuning: Tuning, seed: u64) -> Self {
@@ -167,7 +176,8 @@
         if !self.lanes.iter().any(|l| l.may_hold(job.snapshot)) {
             return self.deny(id, Denial::NoSnapshot);
         }
-        if self.expected_end(now, job.deadline) > job.deadline {
+        let is_blocked = is_too_long(now, self.earliest_start(now), job.deadline);
+        if is_blocked || self.expected_end(now, job.deadline) > job.deadline {
             return self.deny(id, Denial::Overloaded);
         }
         self.queue.insert((job.deadline, id));
@@ -253,6 +263,25 @@
         now + median.mul_f64(rounds)
     }
 
+    /// Time at which some target may be sent a job at the earliest, if it is known to be later
+    /// than now: all of them rest or are held by requests that were lost.
+    pub(crate) fn earliest_start(&self, now: Instant) -> Option<Instant> {
+        let start = |lane: &Lane| {
+            let lost = self.lost.iter().filter(|(_, a)| self.is_at(*a, lane.name()));
+            let lost: Vec<Instant> = lost.map(|(at, _)| *at).collect();
+            let freed = lane.running.saturating_sub(u32::try_from(lost.len()).unwrap_or(u32::MAX));
+            let is_held = lane.running >= lane.limit() && freed == 0;
+            let held = lost.first().copied().filter(|_| is_held);
+            held.max(lane.ramp.rest(now)).unwrap_or(now)
+        };
+        let lanes = self.lanes.iter().filter(|l| l.limit() > 0);
+        lanes.map(start).min().filter(|at| *at > now)
+    }
+
+    fn is_at(&self, attempt: u64, target: &str) -> bool {
+        self.attempts.get(&attempt).is_some_and(|a| *a.target == *target)
+    }
+
     fn deny(&mut self, job: u64, denial: Denial) {
         self.actions.push(Action::Reply { job, result: Err(denial), extra: 0 });
     }
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -63,6 +63,11 @@
         self.level == self.full
     }
 
+    /// Whether the target has not failed since its last success.
+    pub fn is_proven(&self) -> bool {
+        self.failures == 0
+    }
+
     /// End of the rest after a failure, if it is later than `now`.
     pub fn rest(&self, now: Instant) -> Option<Instant> {
         self.rest.filter(|end| *end > now)
--- a/crates/policy/src/scatter.rs
+++ b/crates/policy/src/scatter.rs
@@ -2,9 +2,9 @@
 //!
 //! Every shard has candidates in order of preference: the owners and their stand-ins, the entry
 //! host's own data centre first. A candidate that refused without dispatching is replaced by the
-//! next one at no cost; one that may have dispatched is replaced within the budget, and one whose
-//! link broke is always replaced. A candidate that falls silent keeps its chance while the next
-//! one is asked. Where a group has a single replica, its owner can't hedge: the query then hedges
+//! next one at no cost; one that may have dispatched is replaced within the budget; one whose
+//! link broke, or that fell silent and keeps its chance meanwhile, may also be replaced on credit,
+//! as a lost host must not cost coverage. Where a group has a single replica, its owner can't hedge: the query then hedges
 //! across data centres after a high quantile of the service's latency.
 
 use std::time::{Duration, Instant};
@@ -30,8 +30,10 @@
 pub enum Setback {
     /// It can't meet the deadline; nothing was dispatched.
     Overloaded,
-    /// It is not the owner, or lacks the snapshot; nothing was dispatched.
-    Refused,
+    /// It is not the owner; nothing was dispatched.
+    NotOwner,
+    /// Its data centre lacks the snapshot.
+    NoSnapshot,
     /// It may have dispatched.
     Failed,
     /// Its link broke.
@@ -58,7 +60,7 @@
 }
 
 /// A scattered query.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Scatter<'a> {
     states: Vec<State<'a>>,
     undone: usize,
@@ -118,19 +120,14 @@
         state.open.retain(|(candidate, _)| *candidate != ask.candidate);
         let centre = &state.candidates[ask.candidate].host.data_centre;
         let (skip, may) = match setback {
-            Setback::Refused => (None, true),
+            Setback::NotOwner => (None, true),
+            Setback::NoSnapshot => (Some(centre), true),
             Setback::Overloaded => {
                 state.overloads += 1;
                 (Some(centre), state.overloads < OVERLOADS)
             }
             Setback::Failed => (Some(centre), state.open.is_empty() && budget.retry()),
-            Setback::Broken => {
-                let may = state.open.is_empty();
-                if may {
-                    budget.borrow();
-                }
-                (None, may)
-            }
+            Setback::Broken => (None, state.open.is_empty() && budget.borrow()),
         };
         let is_extra = matches!(setback, Setback::Failed | Setback::Broken);
         let next = if may { self.ask(now, ask.shard, skip, suspect) } else { None };
@@ -157,7 +154,7 @@
         let shards: Vec<usize> =
             (0..self.states.len()).filter(|i| waits(&self.states[*i])).collect();
         let next = shards.into_iter().filter_map(|shard| {
-            let next = if budget.retry() { self.ask(now, shard, None, suspect) } else { None };
+            let next = if budget.borrow() { self.ask(now, shard, None, suspect) } else { None };
             self.extra += u64::from(next.is_some());
             next
         });
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -348,3 +348,40 @@
     assert!(requests > jobs / 2, "the service goes on");
     assert!(f64::from(requests) <= f64::from(jobs) + most, "{requests} requests, {jobs} jobs");
 }
+
+#[test]
+fn failed_target_is_tried_only_while_a_retry_can_be_paid_for() {
+    let mut group = group(&["a", "b"]);
+    let mut now = Instant::now();
+    let mut lost = 0;
+
+    for id in 0..400 {
+        now += ms(1000);
+        submit(&mut group, now, id, ms(200));
+        let mut actions = step(&mut group, now);
+        while let Some((attempt, _, target)) = dispatched(&actions).pop() {
+            let outcome = if target == "a" { Outcome::Failed } else { Outcome::Answered };
+            group.finished(now, attempt, outcome);
+            actions = step(&mut group, now);
+        }
+        lost +=
+            actions.iter().filter(|a| matches!(a, Action::Reply { result: Err(_), .. })).count();
+    }
+
+    assert_eq!(lost, 0, "the good replica serves all");
+}
+
+#[test]
+fn job_is_denied_while_every_target_is_held_by_lost_requests() {
+    let mut group = group(&["a"]);
+    let now = Instant::now();
+    submit(&mut group, now, 1, ms(1000));
+    let sent = dispatched(&step(&mut group, now));
+    group.finished(now, sent[0].0, Outcome::Lost);
+    step(&mut group, now);
+
+    submit(&mut group, now, 2, ms(1000));
+
+    let denied = Action::Reply { job: 2, result: Err(Denial::Overloaded), extra: 0 };
+    assert_eq!(step(&mut group, now), [denied], "another data centre may serve it");
+}
