--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -7,15 +7,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use sapphirerack_catalogue::Map;
+use sapphirerack_catalogue::{Map, Set};
 use sapphirerack_policy::Clock;
 use sapphirerack_protocol::{Message, Reply, Request};
 
 use crate::contacts::Contacts;
 use crate::links::{LinkId, Links};
 
-/// A request to one peer.
+/// A request to one peer, known to the asker by `index`.
 pub(crate) struct Call {
+    pub index: usize,
     pub peer: SocketAddr,
     pub request: Request,
 }
@@ -23,6 +24,7 @@
 /// Reply to a call; `None` if the link to the peer broke first.
 pub(crate) struct Answer {
     pub id: u64,
+    pub index: usize,
     pub reply: Option<Reply>,
 }
 
@@ -45,6 +47,7 @@
 
 struct Pending {
     peer: SocketAddr,
+    index: usize,
     answers: flume::Sender<Answer>,
 }
 
@@ -56,6 +59,7 @@
     next: AtomicU64,
     pending: Mutex<Map<u64, Pending>>,
     contacts: Contacts,
+    in_hand: Mutex<Set<ReplyTo>>,
 }
 
 impl Calls {
@@ -68,7 +72,15 @@
     ) -> Arc<Self> {
         let next = AtomicU64::new(0);
         let contacts = Contacts::new(clock);
-        Arc::new(Self { own, links, inbound, next, pending: Mutex::default(), contacts })
+        Arc::new(Self {
+            own,
+            links,
+            inbound,
+            next,
+            pending: Mutex::default(),
+            contacts,
+            in_hand: Mutex::default(),
+        })
     }
 
     /// When other hosts were last heard.
@@ -137,7 +149,7 @@
         if pending.get(&id).is_some_and(|p| p.peer == peer)
             && let Some(call) = pending.remove(&id)
         {
-            let _ = call.answers.send(Answer { id, reply: Some(reply) });
+            let _ = call.answers.send(Answer { id, index: call.index, reply: Some(reply) });
         }
     }
 
@@ -146,14 +158,30 @@
         self.contacts.suspect(peer);
         self.pending().retain(|id, call| {
             if call.peer == peer {
-                let _ = call.answers.send(Answer { id: *id, reply: None });
+                let _ = call.answers.send(Answer { id: *id, index: call.index, reply: None });
             }
             call.peer != peer
         });
     }
 
+    /// Takes note of a request of another host.
+    pub(crate) fn received(&self, from: ReplyTo) {
+        self.in_hand().insert(from);
+    }
+
+    /// Takes note that another host no longer wants a reply.
+    pub(crate) fn withdrawn(&self, from: ReplyTo) {
+        self.in_hand().remove(&from);
+    }
+
+    /// Whether every request of another host has its reply.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_hand().is_empty()
+    }
+
     /// Sends the reply to a request that this host received.
     pub(crate) fn reply(&self, to: ReplyTo, reply: Reply) {
+        self.in_hand().remove(&to);
         match to {
             ReplyTo::Local(id) => self.resolve(id, self.own, reply),
             ReplyTo::Link(link, id) => self.links.reply(link, &Message::Reply { id, body: reply }),
@@ -162,11 +190,15 @@
 
     fn register(&self, call: &Call, answers: &flume::Sender<Answer>) -> u64 {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let pending = Pending { peer: call.peer, answers: answers.clone() };
+        let pending = Pending { peer: call.peer, index: call.index, answers: answers.clone() };
         self.pending().insert(id, pending);
         id
     }
 
+    fn in_hand(&self) -> std::sync::MutexGuard<'_, Set<ReplyTo>> {
+        self.in_hand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn pending(&self) -> std::sync::MutexGuard<'_, Map<u64, Pending>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/host/src/changes.rs
+++ b/crates/host/src/changes.rs
@@ -1,65 +1,51 @@
-//! Changes of the catalogue through the platform's store.
-//!
-//! A change is one compare-and-swap of the catalogue's head. It carries a unique id, so that a lost
-//! answer of the store can be settled by reading back.
+//! Changes of the catalogue that this host carries out for operators and for moves.
 
 use std::sync::Arc;
 
 use sapphirerack_catalogue::{Catalogue, Name};
-use sapphirerack_platform::{Category, Store};
+use sapphirerack_repository::{Change, Repository};
 
-use crate::config::{Config, HEAD_KEY, Head, View, parse};
+use crate::config::{Config, View};
 
-/// Why a change was not accepted.
-#[derive(Clone, Debug, thiserror::Error)]
-pub(crate) enum Rejection {
-    /// The change breaks a rule; nothing changed.
-    #[error("{0}")]
-    Invalid(String),
-    /// Another change came first; nothing changed.
-    #[error("another change came first: {0}")]
-    Conflict(String),
-    /// The store can't be reached; nothing changed.
-    #[error("{0}")]
-    Unavailable(String),
-    /// The store did not answer; the change may have been accepted.
-    #[error("outcome unknown: {0}")]
-    Unknown(String),
-}
+pub(crate) use sapphirerack_repository::Rejection;
 
 /// Carries out changes of the catalogue.
 pub(crate) struct Changes {
-    store: Store,
+    repository: Arc<Repository>,
     config: Arc<Config>,
 }
 
 impl Changes {
-    pub(crate) fn new(store: Store, config: Arc<Config>) -> Self {
-        Self { store, config }
+    pub(crate) fn new(repository: Arc<Repository>, config: Arc<Config>) -> Self {
+        Self { repository, config }
     }
 
-    /// Applies `edit` to the newest catalogue as the change `id`; returns the accepted version.
+    /// Applies `edit` to the newest catalogue as the change `id` of the system itself; returns the
+    /// accepted version. The edit is tried again if another change comes first.
+    #[allow(dead_code, reason = "called by the moves")]
     pub(crate) fn apply(
         &self,
         id: Name,
         edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
     ) -> Result<u64, Rejection> {
-        let current =
-            self.store.get(HEAD_KEY).map_err(|e| Rejection::Unavailable(e.to_string()))?;
-        let stored = current.as_ref().map_or(0, |v| v.version);
-        let base = current.as_ref().and_then(parse);
-        let version = base.as_ref().map_or(0, |h| h.version) + 1;
-        let catalogue = edit(&base.map(|h| h.catalogue).unwrap_or_default())?;
-        catalogue.check().map_err(|e| Rejection::Invalid(e.to_string()))?;
-        let head = Head { version, change: id, catalogue };
-        let bytes = serde_json::to_vec(&head).map_err(|e| Rejection::Invalid(e.to_string()))?;
-        match self.store.swap(HEAD_KEY, stored, &bytes) {
-            Ok(_) => {
-                self.config.adopt(View { version, catalogue: head.catalogue });
-                Ok(version)
-            }
-            Err(e) if e.classify() == Category::Conflict => Err(Rejection::Conflict(e.to_string())),
-            Err(e) => Err(Rejection::Unknown(e.to_string())),
+        let change = Change { id, member: "".into(), summary: "moves".into(), base: None };
+        self.submit(&change, edit)
+    }
+
+    /// Applies `edit` to the newest catalogue as `change`; returns the accepted version.
+    pub(crate) fn submit(
+        &self,
+        change: &Change,
+        edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
+    ) -> Result<u64, Rejection> {
+        let view = self.config.view();
+        let known = |key: &str| view.part(key);
+        let (version, snapshot) = self.repository.apply(change, view.version, known, edit)?;
+        let (id, member) = (&change.id, &change.member);
+        log::info!("step=change id={id} member={member} version={version} outcome=accepted");
+        if let Some(snapshot) = snapshot {
+            self.config.adopt(View::new(version, &snapshot));
         }
+        Ok(version)
     }
 }
--- a/crates/host/src/collect.rs
+++ b/crates/host/src/collect.rs
@@ -153,6 +153,7 @@
         }
         let now = self.collector.clock.now();
         let call = |ask: &Ask| Call {
+            index: ask.shard,
             peer: self.host(*ask).address,
             request: Request::Search(SubQuery {
                 shard: self.service.shards[ask.shard].name.clone(),
--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -155,6 +155,7 @@
         let (sender, answers) = flume::unbounded();
         let asks: Vec<Ask> = shards.iter().flat_map(|i| self.owners(*i, &route[*i])).collect();
         let call = |ask: &Ask| Call {
+            index: ask.shard,
             peer: route[ask.shard][ask.candidate].host.address,
             request: Request::Describe {
                 service: service.name.clone(),
--- a/crates/host/src/lanes.rs
+++ b/crates/host/src/lanes.rs
@@ -10,9 +10,13 @@
 
 use sapphirerack_catalogue::{Name, Span, Target};
 use sapphirerack_platform::{Error, Found, Health, Search, TargetClient};
+use sapphirerack_policy::booking::Ended;
 use sapphirerack_policy::{Clock, Outcome};
 use sapphirerack_protocol::SubQuery;
 
+use crate::errand;
+use crate::work::Work;
+
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -26,7 +30,7 @@
 pub(crate) struct Errand {
     pub attempt: u64,
     pub request: Arc<str>,
-    pub query: Arc<SubQuery>,
+    pub work: Arc<Work>,
     /// Time since the Unix epoch after which the target drops it.
     pub deadline: Duration,
 }
@@ -43,6 +47,8 @@
 pub(crate) struct Ending {
     pub outcome: Outcome,
     pub found: Option<Found>,
+    /// How a booking ended.
+    pub ended: Option<Ended>,
     pub failure: Option<&'static str>,
 }
 
@@ -108,18 +114,20 @@
     fn run(self) {
         for errand in &self.errands {
             let start = self.clock.now();
-            let ending = self.search(&errand);
+            let ending = match &*errand.work {
+                Work::Search(query) => self.search(&errand, query),
+                Work::Book(claimed) => book(errand::run(&self.client, &*self.clock, claimed)),
+            };
             let time = self.clock.now().duration_since(start);
             (self.report)(Report::Finished { attempt: errand.attempt, time, ending });
         }
     }
 
-    fn search(&self, errand: &Errand) -> Ending {
+    fn search(&self, errand: &Errand, query: &SubQuery) -> Ending {
         let timeout = errand.deadline.saturating_sub(self.clock.unix());
         if timeout.is_zero() {
             return Ending::failed(Outcome::Late, "timeout");
         }
-        let query = &errand.query;
         let search = Search {
             request: &errand.request,
             snapshot: query.snapshot,
@@ -142,16 +150,25 @@
             (false, _) => Some("wrong snapshot"),
         };
         let outcome = if failure.is_none() { Outcome::Answered } else { Outcome::Failed };
-        Ending { outcome, found: Some(found), failure }
+        Ending { outcome, found: Some(found), ended: None, failure }
     }
 }
 
 impl Ending {
     fn failed(outcome: Outcome, failure: &'static str) -> Self {
-        Self { outcome, found: None, failure: Some(failure) }
+        Self { outcome, found: None, ended: None, failure: Some(failure) }
     }
 }
 
+fn book(ended: Ended) -> Ending {
+    let (outcome, failure) = match ended {
+        Ended::Answer(_) => (Outcome::Answered, None),
+        Ended::NotRun => (Outcome::Failed, Some("booking not run")),
+        Ended::Unknown => (Outcome::Lost, Some("booking unknown")),
+    };
+    Ending { outcome, found: None, ended: Some(ended), failure }
+}
+
 fn refused(error: &Error) -> Ending {
     use sapphirerack_platform::Category;
     log::debug!("step=search error={error:?}");
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -22,6 +22,13 @@
 //! - `calls`: requests to other hosts and their replies
 //! - `links`: TCP links between hosts
 //! - `lanes`: threads that talk to one target
+//! - `bookings`: callers' requests that run at most once
+//! - `claims`: the partitions of bookings that this host owns
+//! - `store_log`: the partitions' logs in the store
+//! - `issued`: idempotency keys that a host hands out
+//! - `work`: what a target is asked to do
+//! - `errand`: a claimed booking at one target
+//! - `shutdown`: planned stops
 //! - `owner`: sub-queries at the targets that this host owns
 //! - `inbox`: hands what other hosts want to the parts of this host
 //! - `routing`: the catalogue that traffic is routed by
@@ -31,21 +38,28 @@
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
+//! - `fetch`: what other hosts have and this one misses
 //! - `gossip`: datagrams between hosts and the topics they carry
 //! - `operators`: operators' HTTP
+//! - `status`: what operators are told of the hosts
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
 
+mod bookings;
 mod calls;
 mod changes;
+mod claims;
 mod collect;
 mod config;
 mod contacts;
 mod entry;
+mod errand;
 mod error;
+mod fetch;
 mod gather;
 mod gossip;
 mod inbox;
+mod issued;
 mod judge;
 mod lanes;
 mod links;
@@ -60,11 +74,17 @@
 mod routing;
 mod serve;
 mod settings;
+mod shutdown;
 mod snapshots;
 mod spans;
+mod status;
 mod steps;
+mod store_log;
 mod versions;
+mod work;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
-pub use crate::settings::{GossipSettings, Listen, Settings, StoreSettings, from_text};
+pub use crate::settings::{
+    BookingSettings, GossipSettings, Listen, Settings, StopSettings, StoreSettings, from_text,
+};
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -5,28 +5,21 @@
 
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_http::{Method, Request, Response, Server};
+use sapphirerack_repository::Change;
 use serde::Serialize;
 
 use crate::changes::{Changes, Rejection};
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::move_front::MoveFront;
-use crate::peers::Peers;
+use crate::shutdown::Leaving;
+use crate::status::Reporter;
 use crate::{Error, Result};
 
 /// Largest catalogue that an operator may send, in bytes.
 const CATALOGUE_LIMIT: usize = 1 << 20;
 const CHANGE_HEADER: &str = "x-change-id";
 
-#[derive(Serialize)]
-struct Status<'a> {
-    host: &'a str,
-    data_centre: &'a str,
-    version: u64,
-    ready: bool,
-    live_hosts: usize,
-}
-
 #[derive(Serialize)]
 struct Accepted {
     version: u64,
@@ -41,21 +34,23 @@
 /// Operators' front.
 pub(crate) struct Operators {
     config: Arc<Config>,
-    peers: Arc<Peers>,
+    reporter: Reporter,
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
     moves: MoveFront,
+    leaving: Arc<Leaving>,
 }
 
 impl Operators {
     pub(crate) fn new(
         config: Arc<Config>,
-        peers: Arc<Peers>,
+        reporter: Reporter,
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
         moves: MoveFront,
+        leaving: Arc<Leaving>,
     ) -> Self {
-        Self { config, peers, metrics, changes, moves }
+        Self { config, reporter, metrics, changes, moves, leaving }
     }
 
     /// Serves operators at `address`.
@@ -75,7 +70,7 @@
             (&Method::GET, "/healthz") => Response::text(200, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
             (&Method::GET, "/metrics") => Response::text(200, self.metrics.text()),
-            (&Method::GET, "/status") => self.status(),
+            (&Method::GET, "/status") => self.status(request),
             (&Method::GET, "/catalogue") => self.get(),
             (&Method::PUT, "/catalogue") => self.put(request),
             _ => Response::refuse(404, "unknown path", true),
@@ -86,20 +81,17 @@
         if self.config.view().version == 0 {
             return Response::text(503, "no configuration yet\n");
         }
+        if self.leaving.is_set() {
+            return Response::text(503, "leaving\n");
+        }
         Response::text(200, "ready\n")
     }
 
-    fn status(&self) -> Response {
-        let version = self.config.view().version;
-        let own = self.peers.own();
-        let status = Status {
-            host: &own.name,
-            data_centre: &own.data_centre,
-            version,
-            ready: version > 0,
-            live_hosts: self.peers.live().len(),
-        };
-        Response::json(200, &status)
+    fn status(&self, request: &Request) -> Response {
+        if request.query == "all" || request.param("all").is_some() {
+            return Response::json(200, &self.reporter.all());
+        }
+        Response::json(200, &self.reporter.own())
     }
 
     fn get(&self) -> Response {
@@ -123,7 +115,8 @@
         let edit = |current: &Catalogue| {
             Ok(Catalogue { moves: current.moves.clone(), ..catalogue.clone() })
         };
-        match self.changes.apply(id, edit) {
+        let change = Change { id, member: "".into(), summary: "catalogue".into(), base: None };
+        match self.changes.submit(&change, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
@@ -133,6 +126,7 @@
 pub(crate) fn refuse(rejection: &Rejection) -> Response {
     let (status, not_run) = match rejection {
         Rejection::Invalid(_) => (400, true),
+        Rejection::Forbidden { .. } => (403, true),
         Rejection::Conflict(_) => (409, true),
         Rejection::Unavailable(_) => (503, true),
         Rejection::Unknown(_) => (504, false),
--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -10,10 +10,9 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Map, Name, Shard, Target, TargetState};
-use sapphirerack_policy::{
-    Action, Clock, Denial, Group, Job, Outcome, SnapshotId, Tuning, full_limit,
-};
-use sapphirerack_protocol::{Failure, Part, Reply, SubQuery, SubReply};
+use sapphirerack_policy::booking::Ended;
+use sapphirerack_policy::{Action, Clock, Denial, Group, Job, Outcome, Tuning, full_limit};
+use sapphirerack_protocol::{Claimed, Failure, Part, Reply, SubQuery, SubReply};
 
 use crate::calls::{Calls, ReplyTo};
 use crate::config::View;
@@ -22,6 +21,7 @@
 use crate::routing::Routing;
 use crate::spans::Spans;
 use crate::versions::{self, Versions};
+use crate::work::Work;
 use crate::{Error, Result};
 
 /// Events that are taken before the state machines are asked what to do.
@@ -33,6 +33,8 @@
     Describe { service: Name, shard: Name, reply_to: ReplyTo },
     /// To run a sub-query.
     Search(SubQuery, ReplyTo),
+    /// To send a claimed booking to one target.
+    Book(Claimed, ReplyTo),
     /// To drop a sub-query whose answer is no longer wanted.
     Cancel(ReplyTo),
     /// What happened at a target of a group.
@@ -77,16 +79,18 @@
 
 /// A job whose answer is wanted.
 struct Open {
-    query: Arc<SubQuery>,
+    work: Arc<Work>,
     reply_to: ReplyTo,
     place: usize,
     draw: f64,
+    sent: bool,
 }
 
 /// A request at a target.
 struct Sent {
+    job: u64,
     request: Arc<str>,
-    query: Arc<SubQuery>,
+    work: Arc<Work>,
     version: Name,
     target: Name,
     cancelled: bool,
@@ -149,12 +153,8 @@
                 let held = place.map(|p| self.groups[p].group.held()).unwrap_or_default();
                 self.parts.calls.reply(reply_to, Reply::Described(held));
             }
-            OwnerRequest::Search(query, reply_to) => {
-                match self.place(&query.service, &query.shard) {
-                    Some(place) => self.submit(place, query, reply_to),
-                    None => self.fail(reply_to, Failure::NotOwner),
-                }
-            }
+            OwnerRequest::Search(query, reply_to) => self.submit(Work::Search(query), reply_to),
+            OwnerRequest::Book(claimed, reply_to) => self.submit(Work::Book(claimed), reply_to),
             OwnerRequest::Cancel(reply_to) => self.cancel(reply_to),
             OwnerRequest::Report(place, report) => self.report(place, report),
         }
@@ -252,23 +252,30 @@
         Arc::new(move |report| drop(reports.send(OwnerRequest::Report(place, report))))
     }
 
-    fn submit(&mut self, place: usize, query: SubQuery, reply_to: ReplyTo) {
+    fn submit(&mut self, work: Work, reply_to: ReplyTo) {
+        let Some(place) = self.place(work.service(), work.shard()) else {
+            return self.fail(&work, reply_to, Failure::NotOwner);
+        };
         let now = self.parts.clock.now();
-        let left = Duration::from_micros(query.deadline).saturating_sub(self.parts.clock.unix());
+        let left = work.deadline().saturating_sub(self.parts.clock.unix());
         let entry = &mut self.groups[place];
         let deadline = now + left.min(entry.deadline);
         let id = self.next;
         self.next += 1;
-        let job = Job { id, snapshot: query.snapshot, deadline };
-        let query = Arc::new(query);
-        self.jobs.insert(id, Open { query, reply_to, place, draw: fastrand::f64() });
+        let job = Job { id, snapshot: work.snapshot(), deadline, once: work.is_booking() };
+        let (work, draw) = (Arc::new(work), fastrand::f64());
+        self.jobs.insert(id, Open { work, reply_to, place, draw, sent: false });
         self.by_reply.insert(reply_to, id);
         entry.group.submit(now, job);
         self.dirty.insert(place);
     }
 
     fn cancel(&mut self, reply_to: ReplyTo) {
-        let Some(id) = self.by_reply.remove(&reply_to) else { return };
+        let Some(id) = self.by_reply.get(&reply_to).copied() else { return };
+        if self.jobs.get(&id).is_some_and(|open| open.work.is_booking() && open.sent) {
+            return;
+        }
+        self.by_reply.remove(&reply_to);
         if let Some(open) = self.jobs.remove(&id) {
             self.groups[open.place].group.cancel(id);
             self.dirty.insert(open.place);
@@ -306,8 +313,8 @@
         }
         if outcome != Outcome::Cancelled {
             let outcome = versions::Outcome { ok: outcome == Outcome::Answered, time };
-            let query = &entry.query;
-            self.parts.versions.record(&query.service, &query.route, &entry.version, outcome);
+            let work = &entry.work;
+            self.parts.versions.record(work.service(), work.route(), &entry.version, outcome);
         }
         if let Some(found) = ending.found {
             if !found.held.is_empty() {
@@ -316,7 +323,11 @@
             let results = Box::<str>::from(found.results).into_string();
             entry.part = Some(Part { snapshot: found.snapshot, span: found.span, results });
         }
+        let (job, ended) = (entry.job, ending.ended);
         group.finished(now, attempt, outcome);
+        if let Some(ended) = ended {
+            self.ran(job, ended);
+        }
         self.step(place, now);
         self.groups[place].sent.remove(&attempt);
     }
@@ -327,8 +338,8 @@
         let (jobs, versions) = (&self.jobs, &self.parts.versions);
         let mut admits = |job: u64, target: &Target| {
             jobs.get(&job).is_some_and(|open| {
-                let query = &open.query;
-                versions.admits(&query.service, &query.route, &target.version, open.draw)
+                let work = &open.work;
+                versions.admits(work.service(), work.route(), &target.version, open.draw)
             })
         };
         let actions = entry.group.step(now, &mut admits);
@@ -360,13 +371,15 @@
     }
 
     fn dispatch(&mut self, place: usize, attempt: u64, job: u64, target: &Name) {
-        let Some(open) = self.jobs.get(&job) else { return };
+        let Some(open) = self.jobs.get_mut(&job) else { return };
+        open.sent = true;
         let entry = &mut self.groups[place];
         let Some(lane) = entry.lanes.iter().find(|l| l.target.name == *target) else { return };
         let request: Arc<str> = format!("{:016x}", fastrand::u64(..)).into();
         let sent = Sent {
             request: request.clone(),
-            query: open.query.clone(),
+            job,
+            work: open.work.clone(),
             version: lane.target.version.clone(),
             target: target.clone(),
             cancelled: false,
@@ -374,8 +387,8 @@
         };
         entry.sent.insert(attempt, sent);
         let longest = self.parts.clock.unix() + entry.deadline;
-        let deadline = Duration::from_micros(open.query.deadline).min(longest);
-        lane.send(Errand { attempt, request, query: open.query.clone(), deadline });
+        let deadline = open.work.deadline().min(longest);
+        lane.send(Errand { attempt, request, work: open.work.clone(), deadline });
     }
 
     fn reply(
@@ -385,6 +398,10 @@
         result: std::result::Result<u64, Denial>,
         extra: u32,
     ) {
+        let is_running = |open: &Open| open.work.is_booking() && open.sent;
+        if self.jobs.get(&job).is_none_or(is_running) {
+            return;
+        }
         let Some(open) = self.jobs.remove(&job) else { return };
         self.by_reply.remove(&open.reply_to);
         let entry = &mut self.groups[place];
@@ -393,13 +410,34 @@
             Ok(attempt) => part(attempt).ok_or(Failure::Target),
             Err(denial) => Err(failure(denial)),
         };
-        let reply = SubReply { outcome, held: entry.group.held(), extra };
-        self.parts.calls.reply(open.reply_to, Reply::Found(reply));
+        match outcome {
+            Err(failure) if open.work.is_booking() => {
+                self.fail(&open.work, open.reply_to, failure);
+            }
+            outcome => {
+                let reply = SubReply { outcome, held: entry.group.held(), extra };
+                self.parts.calls.reply(open.reply_to, Reply::Found(reply));
+            }
+        }
+    }
+
+    /// Tells how a booking ended that was sent to a target.
+    fn ran(&mut self, job: u64, ended: Ended) {
+        if let Some(open) = self.jobs.remove(&job) {
+            self.by_reply.remove(&open.reply_to);
+            self.parts.calls.reply(open.reply_to, Reply::Ran(ended));
+        }
     }
 
-    fn fail(&self, to: ReplyTo, failure: Failure) {
-        let reply = SubReply { outcome: Err(failure), held: Vec::<SnapshotId>::new(), extra: 0 };
-        self.parts.calls.reply(to, Reply::Found(reply));
+    /// Answers work that was not sent to any target.
+    fn fail(&self, work: &Work, to: ReplyTo, failure: Failure) {
+        let reply = match work {
+            Work::Search(_) => {
+                Reply::Found(SubReply { outcome: Err(failure), held: Vec::new(), extra: 0 })
+            }
+            Work::Book(_) => Reply::Ran(Ended::NotRun),
+        };
+        self.parts.calls.reply(to, reply);
     }
 }
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,28 +1,49 @@
-//! The other hosts.
+//! The other hosts, as the membership sees them.
+//!
+//! The platform's host list only gives addresses to ask. A host that knows others already hardly
+//! reads it: a few hosts of a data centre do, seldom, so that hosts which lost each other meet
+//! again.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::thread;
 use std::time::Duration;
 
-use sapphirerack_platform::{HostEntry, HostState, Store};
-use sapphirerack_policy::Host;
+use sapphirerack_catalogue::Name;
+use sapphirerack_platform::{HostState, Store};
+use sapphirerack_policy::{Clock, Host, Membership, Outgoing, Repair, Timing, rank};
+use sapphirerack_protocol::{Datagram, Liveness, Peer};
 
 use crate::{Error, Result};
 
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reads of the host list while no other host is known.
+const ALONE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Hosts that are believed to be live, this one included.
-#[derive(Debug)]
+/// Time between two reads of the host list by a host that is among the readers.
+const READER_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Hosts of a data centre that go on reading the host list.
+const READERS: usize = 2;
+const READERS_KEY: &[u8] = b"host list";
+
+/// The membership and the hosts that it counts live, this one included.
 pub(crate) struct Peers {
     own: Host,
+    clock: Arc<dyn Clock>,
+    membership: Mutex<Membership>,
     live: RwLock<Arc<[Host]>>,
+    epoch: AtomicU64,
 }
 
 impl Peers {
     /// Only this host, at first.
-    pub(crate) fn new(own: Host) -> Arc<Self> {
+    pub(crate) fn new(own: Host, clock: Arc<dyn Clock>, timing: Timing) -> Arc<Self> {
+        let seed = fastrand::u64(..);
+        let membership = Membership::new(&own, timing, clock.now(), clock.unix(), seed);
         let live = RwLock::new(Arc::from([own.clone()]));
-        Arc::new(Self { own, live })
+        let epoch = AtomicU64::new(membership.epoch());
+        Arc::new(Self { own, clock, membership: Mutex::new(membership), live, epoch })
     }
 
     /// This host.
@@ -35,27 +56,120 @@
         self.live.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn replace(&self, entries: Vec<HostEntry>) {
-        let live = entries.into_iter().filter(|e| e.state == HostState::Live);
-        let mut hosts: Vec<Host> = live
-            .map(|e| Host { name: e.name, data_centre: e.data_centre, address: e.address })
-            .collect();
-        if hosts.iter().all(|h| h.name != self.own.name) {
-            hosts.push(self.own.clone());
+    /// Rises with each change of [`Peers::live`].
+    #[allow(dead_code, reason = "read by the route cache")]
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch.load(Ordering::Acquire)
+    }
+
+    /// Whether a live host did not answer lately.
+    pub(crate) fn is_suspected(&self, name: &str) -> bool {
+        self.membership().liveness(name) == Some(Liveness::Suspect)
+    }
+
+    /// Data centres that are known but not heard of.
+    pub(crate) fn cut(&self) -> Vec<Name> {
+        self.membership().cut().iter().cloned().collect()
+    }
+
+    /// Tells the others that this host leaves, so that they send it no new work.
+    pub(crate) fn announce_leaving(&self) {
+        let now = self.clock.now();
+        self.update(|m| m.leave(now));
+    }
+
+    /// Live hosts of the own data centre.
+    pub(crate) fn neighbours(&self) -> Vec<Host> {
+        let own = &self.own.data_centre;
+        self.live().iter().filter(|h| h.data_centre == *own).cloned().collect()
+    }
+
+    /// Whether this host is among the first `count` of its data centre for `key`.
+    pub(crate) fn is_among(&self, key: &[u8], count: usize) -> bool {
+        let ranked = rank(key, &self.neighbours(), |h| h.name.as_bytes());
+        ranked.iter().take(count).any(|h| h.name == self.own.name)
+    }
+
+    /// Datagrams that are due at this interval.
+    pub(crate) fn tick(&self) -> Vec<Outgoing> {
+        let now = self.clock.now();
+        self.update(|m| m.tick(now))
+    }
+
+    /// Datagrams that carry urgent news to a few hosts.
+    pub(crate) fn news(&self, fanout: usize) -> Vec<Outgoing> {
+        let now = self.clock.now();
+        self.update(|m| m.news(now, fanout))
+    }
+
+    /// Takes a datagram; returns those that it causes.
+    pub(crate) fn receive(&self, source: SocketAddr, datagram: &Datagram) -> Vec<Outgoing> {
+        let now = self.clock.now();
+        self.update(|m| m.receive(source, datagram, now))
+    }
+
+    /// Whether there are urgent news; asking resets it.
+    pub(crate) fn take_urgent(&self) -> bool {
+        self.membership().take_urgent()
+    }
+
+    /// View that is to be fetched from another host.
+    pub(crate) fn repair(&self) -> Option<Repair> {
+        self.membership().repair(self.clock.now())
+    }
+
+    /// This host's view of a data centre.
+    pub(crate) fn view(&self, data_centre: &str) -> Vec<Peer> {
+        self.membership().view(data_centre, self.clock.now())
+    }
+
+    /// Takes the view of another host.
+    pub(crate) fn merge(&self, peers: &[Peer]) {
+        let now = self.clock.now();
+        self.update(|m| m.merge(peers, now));
+    }
+
+    /// Takes addresses to ask for other hosts.
+    pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.membership().set_seeds(seeds);
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut Membership) -> T) -> T {
+        let mut membership = self.membership();
+        let result = change(&mut membership);
+        let epoch = membership.epoch();
+        if epoch != self.epoch.load(Ordering::Acquire) {
+            let live = membership.live().into();
+            *self.live.write().unwrap_or_else(PoisonError::into_inner) = live;
+            self.epoch.store(epoch, Ordering::Release);
         }
-        *self.live.write().unwrap_or_else(PoisonError::into_inner) = hosts.into();
+        result
+    }
+
+    fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Follows the platform's host list on a thread of its own.
-pub(crate) fn follow(peers: Arc<Peers>, store: Store) -> Result<()> {
+/// Reads the platform's host list on a thread of its own; `seeds` are asked besides.
+pub(crate) fn follow(peers: Arc<Peers>, store: Store, seeds: Vec<SocketAddr>) -> Result<()> {
+    peers.set_seeds(seeds.clone());
     let run = move || {
         loop {
-            match store.hosts() {
-                Ok(entries) => peers.replace(entries),
-                Err(e) => log::warn!("step=hosts error={e:?}"),
+            let alone = peers.live().len() <= 1;
+            if alone || peers.is_among(READERS_KEY, READERS) {
+                match store.hosts() {
+                    Ok(entries) => {
+                        let listed = entries.iter().filter(|e| e.state == HostState::Live);
+                        let addresses = listed.map(|e| e.address).chain(seeds.iter().copied());
+                        peers.set_seeds(addresses.collect());
+                    }
+                    Err(e) => log::warn!("step=hosts error={e:?}"),
+                }
             }
-            thread::sleep(POLL_INTERVAL);
+            let interval = if peers.live().len() <= 1 { ALONE_INTERVAL } else { READER_INTERVAL };
+            // Jitter spreads the reads of hosts that start together.
+            thread::sleep(interval.mul_f64(0.5 + fastrand::f64()));
         }
     };
     let builder = thread::Builder::new().name("peers".into());
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -124,11 +124,12 @@
         let target = lane.name().clone();
         work.running.push(attempt);
         work.tried.push(target.clone());
-        let deadline = work.job.deadline;
+        let (deadline, once) = (work.job.deadline, work.job.once);
         let entry = Attempt { job, target: target.clone(), start: now, deadline, lost: false };
         self.attempts.insert(attempt, entry);
         self.actions.push(Action::Dispatch { attempt, job, target, extra });
-        if let Some(delay) = self.latency.high().filter(|_| !extra && self.lanes.len() > 1) {
+        if let Some(delay) = self.latency.high().filter(|_| !extra && !once && self.lanes.len() > 1)
+        {
             self.schedule(job, Some((now + delay, Extra::Hedge)));
         }
     }
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -194,6 +194,9 @@
 
     /// Drops a job whose answer is no longer wanted, and cancels its requests.
     pub fn cancel(&mut self, job: u64) {
+        if self.jobs.get(&job).is_some_and(|w| w.job.once && !w.tried.is_empty()) {
+            return;
+        }
         if let Some(work) = self.remove(job) {
             self.cancel_all(&work.running);
         }
@@ -300,8 +303,11 @@
     pub(crate) fn reply(&mut self, job: u64, result: Result<u64, Denial>) {
         let Some(work) = self.remove(job) else { return };
         let extra = u32::try_from(work.tried.len().saturating_sub(1)).unwrap_or(u32::MAX);
-        let losers: Vec<u64> = work.running.into_iter().filter(|a| Ok(*a) != result).collect();
-        self.cancel_all(&losers);
+        if !work.job.once {
+            let running = work.running.into_iter();
+            let losers: Vec<u64> = running.filter(|a| Ok(*a) != result).collect();
+            self.cancel_all(&losers);
+        }
         self.actions.push(Action::Reply { job, result, extra });
     }
 
@@ -316,7 +322,7 @@
 
     /// Takes note that a target does not hold the snapshot of a job, whatever its health says.
     fn forget_snapshot(&mut self, job: u64, target: &str) {
-        let snapshot = self.jobs.get(&job).map(|w| w.job.snapshot);
+        let snapshot = self.jobs.get(&job).and_then(|w| w.job.snapshot);
         if let Some(held) = self.lane(target).and_then(|l| l.held.as_mut()) {
             held.retain(|id| Some(*id) != snapshot);
         }
@@ -348,7 +354,10 @@
             Outcome::Late => Denial::Timeout,
             Outcome::Failed | Outcome::Lost | Outcome::Cancelled => Denial::Target,
         };
-        if work.running.is_empty() {
+        if work.job.once {
+            let failure = work.failure;
+            self.reply(job, Err(failure));
+        } else if work.running.is_empty() {
             self.schedule(job, Some((now, Extra::Retry)));
         }
     }
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -28,15 +28,17 @@
     }
 }
 
-/// A sub-query that waits for an answer.
+/// A sub-query or booking that waits for an answer.
 #[derive(Clone, Debug)]
 pub struct Job {
     /// Unique id.
     pub id: u64,
-    /// Snapshot that it is pinned to.
-    pub snapshot: SnapshotId,
+    /// Snapshot that it is pinned to, if it reads one.
+    pub snapshot: Option<SnapshotId>,
     /// Time after which nobody wants the answer.
     pub deadline: Instant,
+    /// Whether it must not be sent a second time, nor be cancelled at its target.
+    pub once: bool,
 }
 
 /// How a request to a target ended.
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -52,13 +52,13 @@
     }
 
     /// Whether the target may be sent a request for a snapshot now.
-    pub(crate) fn is_free(&self, now: Instant, snapshot: SnapshotId) -> bool {
+    pub(crate) fn is_free(&self, now: Instant, snapshot: Option<SnapshotId>) -> bool {
         self.running < self.limit() && self.may_hold(snapshot) && self.ramp.rest(now).is_none()
     }
 
-    /// Whether the target holds a snapshot as far as is known.
-    pub(crate) fn may_hold(&self, snapshot: SnapshotId) -> bool {
-        self.held.as_ref().is_none_or(|held| held.contains(&snapshot))
+    /// Whether the target may hold a snapshot, as far as is known.
+    pub(crate) fn may_hold(&self, snapshot: Option<SnapshotId>) -> bool {
+        snapshot.is_none_or(|id| self.held.as_ref().is_none_or(|held| held.contains(&id)))
     }
 
     /// Share of the limit in use.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,12 @@
 //! - `lane`: one target as its owner sees it
 //! - `latency`: recent latencies, for adaptive delays
 //! - `ramp`: cold start of a target
+//! - `booking`: keys, records and outcomes of requests that run at most once
+//! - `membership`: heartbeats, failure detection and announced leaving
+//! - `roster`, `rumours`, `probes`: what the membership keeps
+//! - `event`: events and actions of that owner
+//! - `log_copy`: a host's copy of a partition's log
+//! - `ledger`: the owner of one partition of bookings
 //! - `evidence`: evidence for and against a new version, from one host and from many
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
@@ -34,19 +40,27 @@
 //! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
+pub mod booking;
 mod budget;
 mod clock;
 mod coverage;
 mod dispatch;
+mod event;
 pub mod evidence;
 mod group;
 mod job;
 mod lane;
 mod latency;
+mod ledger;
+mod log_copy;
+mod membership;
 pub mod moves;
+mod probes;
 mod ramp;
 mod rendezvous;
+mod roster;
 mod route;
+mod rumours;
 mod scatter;
 mod snapshot;
 mod start;
@@ -60,6 +74,7 @@
 pub use crate::job::{Action, Admits, Denial, Job, Outcome, Tuning};
 pub use crate::lane::full_limit;
 pub use crate::latency::Latency;
+pub use crate::membership::{Membership, Outgoing, Repair, Timing};
 pub use crate::ramp::Ramp;
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, group_key, owners, ranked};
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -36,7 +36,7 @@
 }
 
 fn submit(group: &mut Group, now: Instant, id: u64, timeout: Duration) {
-    group.submit(now, Job { id, snapshot: SNAPSHOT, deadline: now + timeout });
+    group.submit(now, Job { id, snapshot: Some(SNAPSHOT), deadline: now + timeout, once: false });
 }
 
 fn dispatched(actions: &[Action]) -> Vec<(u64, u64, String)> {
@@ -385,3 +385,25 @@
     let denied = Action::Reply { job: 2, result: Err(Denial::Overloaded), extra: 0 };
     assert_eq!(step(&mut group, now), [denied], "another data centre may serve it");
 }
+
+#[test]
+fn job_that_must_not_be_repeated_is_sent_once_and_not_cancelled() {
+    let mut group = group(&["a", "b"]);
+    let mut now = Instant::now();
+    warm(&mut group, &mut now, ms(4));
+    for (id, outcome) in [(1, Some(Outcome::Failed)), (2, None)] {
+        group.submit(now, Job { id, snapshot: None, deadline: now + ms(500), once: true });
+        let sent = dispatched(&step(&mut group, now));
+        now += ms(100);
+        assert!(step(&mut group, now).is_empty(), "it is not hedged");
+        match outcome {
+            Some(outcome) => group.finished(now, sent[0].0, outcome),
+            None => group.cancel(id),
+        }
+
+        let end = step(&mut group, now);
+
+        assert!(dispatched(&end).is_empty(), "it is not retried");
+        assert!(!end.iter().any(|a| matches!(a, Action::Cancel { .. })), "it is not cancelled");
+    }
+}
--- a/crates/policy/tests/group_properties.rs
+++ b/crates/policy/tests/group_properties.rs
@@ -83,7 +83,7 @@
                 let id = self.deadlines.len() as u64;
                 let deadline = self.now + Duration::from_millis(u64::from(timeout));
                 self.deadlines.insert(id, deadline);
-                self.group.submit(self.now, Job { id, snapshot: 1, deadline });
+                self.group.submit(self.now, Job { id, snapshot: Some(1), deadline, once: false });
             }
             Event::Finish { pick, outcome } => self.finish(pick, outcome),
             Event::Cancel { pick } if !self.deadlines.is_empty() => {
--- a/crates/sapphirerack/src/serve.rs
+++ b/crates/sapphirerack/src/serve.rs
@@ -20,8 +20,11 @@
         .map_err(|e| Error::File(format!("{path}: {e}")))?;
     start_log(&settings.log);
     let host = sapphirerack_host::serve(&settings).map_err(|e| Error::Run(e.to_string()))?;
-    host.join();
-    Ok(())
+    match host.join() {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Error::Run("stopped with work left".into())),
+        Err(e) => Err(Error::Run(e.to_string())),
+    }
 }
 
 /// Starts the log: one event a line, as `key=value` fields. `RUST_LOG` overrides the level.
