--- a/crates/host/src/collect.rs
+++ b/crates/host/src/collect.rs
@@ -49,6 +49,7 @@
     parts: Vec<(Name, Part)>,
     sent: u64,
     extra: u64,
+    late: bool,
 }
 
 impl Collector {
@@ -87,6 +88,7 @@
             parts: Vec::new(),
             sent: 0,
             extra: 0,
+            late: false,
         };
         run.go(&answers);
         run.end()
@@ -201,6 +203,7 @@
         let centre = &self.host(ask).data_centre;
         self.collector.snapshots.learn(&self.service.name, shard, centre, reply.held);
         self.extra += u64::from(reply.extra);
+        self.late |= reply.outcome.as_ref().err() == Some(&Failure::Timeout);
         let part = reply.outcome.map_err(setback)?;
         if part.snapshot != self.query.snapshot {
             return Err(Setback::NoSnapshot);
@@ -253,10 +256,11 @@
 
     fn end(mut self) -> Gathered {
         self.withdraw(|_| true);
+        let is_complete = self.coverage.is_complete();
         Gathered {
             snapshot: self.query.snapshot,
             coverage: self.coverage,
-            cut: !self.scatter.is_done(),
+            cut: !self.scatter.is_done() || (self.late && !is_complete),
             parts: self.parts,
             sent: self.sent,
             extra: self.extra + self.scatter.extra(),
