--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,12 +14,19 @@
 //! - `serve`: starts and joins all parts
 //! - `entry`: callers' HTTP
 //! - `gather`: one query, scattered and gathered
+//! - `collect`: drives one scattered query
+//! - `routes`: which hosts are asked, kept between queries
+//! - `spans`: partitions of shards that a snapshot divides otherwise
+//! - `snapshots`: which snapshots the replicas hold
+//! - `contacts`: when other hosts were last heard
 //! - `calls`: requests to other hosts and their replies
 //! - `links`: TCP links between hosts
+//! - `lanes`: threads that talk to one target
 //! - `bookings`: callers' requests that run at most once
 //! - `claims`: the partitions of bookings that this host owns
 //! - `store_log`: the partitions' logs in the store
 //! - `issued`: idempotency keys that a host hands out
+//! - `work`: what a target is asked to do
 //! - `errand`: a claimed booking at one target
 //! - `shutdown`: planned stops
 //! - `owner`: sub-queries at the targets that this host owns
@@ -45,7 +52,9 @@
 mod changes;
 mod claim;
 mod claims;
+mod collect;
 mod config;
+mod contacts;
 mod entry;
 mod errand;
 mod error;
@@ -55,6 +64,7 @@
 mod inbox;
 mod issued;
 mod judge;
+mod lanes;
 mod links;
 mod member_front;
 mod metrics;
@@ -64,14 +74,18 @@
 mod operators;
 mod owner;
 mod peers;
+mod routes;
 mod routing;
 mod serve;
 mod settings;
 mod shutdown;
+mod snapshots;
+mod spans;
 mod status;
 mod steps;
 mod store_log;
 mod versions;
+mod work;
 
 pub use crate::error::{Category, Error, Result};
 pub use crate::serve::{Host, serve};
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
+use sapphirerack_policy::Tuning;
 use serde::Deserialize;
 
 use crate::{Error, Result};
@@ -36,6 +37,9 @@
     /// no use once the catalogue names a member. Without it an empty catalogue can't be changed.
     #[serde(default)]
     pub founding: Option<Name>,
+    /// How queries are run.
+    #[serde(default)]
+    pub queries: QuerySettings,
     /// Bookings.
     #[serde(default)]
     pub bookings: BookingSettings,
@@ -177,6 +181,44 @@
     }
 }
 
+/// How queries are run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuerySettings {
+    /// Requests that may wait at a target beyond its slots.
+    pub waiting: u32,
+    /// Hedges and retries, as a share of the sub-queries, 0 to 1.
+    pub extra: f64,
+    /// Hedges and retries that are saved up at most, for each group of replicas.
+    pub burst: u32,
+    /// Quantile of a service's own latency after which a sub-query is hedged, 0 to 1.
+    pub quantile: f64,
+}
+
+impl Default for QuerySettings {
+    fn default() -> Self {
+        let Tuning { waiting, extra, quantile, .. } = Tuning::default();
+        Self { waiting, extra, burst: 8, quantile }
+    }
+}
+
+impl QuerySettings {
+    /// The settings as the state machines take them.
+    pub(crate) fn tuning(&self) -> Tuning {
+        let Self { waiting, extra, burst, quantile } = *self;
+        Tuning { waiting, extra, burst: burst.into(), quantile }
+    }
+
+    fn check(&self) -> Result<()> {
+        for (field, value) in [("extra", self.extra), ("quantile", self.quantile)] {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(Error::rule(format!("queries.{field}: {value}, expected 0 to 1")));
+            }
+        }
+        Ok(())
+    }
+}
+
 fn default_log() -> Name {
     "info".into()
 }
@@ -208,6 +250,7 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    settings.queries.check()?;
     if limits.timeout.is_zero() {
         return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
     }
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,78 @@
+//! The budget for requests beyond the first: hedges and retries.
+//!
+//! Every sub-query earns a fraction of a token and every extra request spends a whole one, so
+//! that extra load stays below a stated share however badly the targets do. The share of a
+//! sub-query is split between the two places that can send extra requests, so that the sum holds:
+//! see [`split`].
+
+/// Debt that a budget may have, in bursts.
+const CREDIT: f64 = 4.0;
+
+/// Tokens for extra requests.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+    share: f64,
+    burst: f64,
+}
+
+impl Budget {
+    /// Budget that starts with `burst` tokens, its most, and earns `share` for each sub-query.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self { tokens: burst, share, burst }
+    }
+
+    /// Earns the share of one sub-query.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst);
+    }
+
+    /// Spends a token on a retry; false if there is none.
+    pub fn retry(&mut self) -> bool {
+        self.spend(0.0)
+    }
+
+    /// Whether there is a token for a retry.
+    pub fn can_retry(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Spends a token on a hedge; false unless half of the burst stays for retries.
+    pub fn hedge(&mut self) -> bool {
+        self.spend(self.burst / 2.0)
+    }
+
+    fn spend(&mut self, reserve: f64) -> bool {
+        if self.tokens < reserve + 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Spends a token that may not be there, up to a debt of a few bursts; later hedges and
+    /// retries pay for it.
+    pub fn borrow(&mut self) -> bool {
+        self.spend(-self.burst * CREDIT)
+    }
+
+    /// Changes the share.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+}
+
+/// Parts of the extra-load share for the owner of a group and for the entry host.
+///
+/// The owner of a single replica has nowhere to send a second request; the entry host then gets
+/// the whole share, and half of it otherwise.
+///
+/// ```
+/// use sapphirerack_policy::split;
+///
+/// assert_eq!(split(0.05, 1), (0.0, 0.05));
+/// assert_eq!(split(0.05, 3), (0.025, 0.025));
+/// ```
+pub fn split(share: f64, replicas: usize) -> (f64, f64) {
+    if replicas < 2 { (0.0, share) } else { (share / 2.0, share / 2.0) }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,9 +15,16 @@
 //!
 //! # Modules
 //!
-//! - `booking`: keys, records and outcomes of requests that run at most once
+//! - `budget`: the budget for hedges and retries
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `dispatch`: which job the owner sends to which target
+//! - `group`: the owner of a group of replicas, as a state machine
+//! - `job`: what goes into the owner of a group and what comes out
+//! - `lane`: one target as its owner sees it
+//! - `latency`: recent latencies, for adaptive delays
+//! - `ramp`: cold start of a target
+//! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `membership`: heartbeats, failure detection and announced leaving
 //! - `roster`, `rumours`, `probes`: what the membership keeps
 //! - `event`: events and actions of that owner
@@ -27,34 +34,50 @@
 //! - `moves`: what a move has in effect, and its next step
 //! - `rendezvous`: which host owns a key
 //! - `route`: which hosts a sub-query is sent to
+//! - `scatter`: one query scattered to the owners of its shards
 //! - `snapshot`: which index snapshot a query is pinned to
 //! - `start`: whether a move may start, and its stages
 //! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
 pub mod booking;
+mod budget;
 mod clock;
 mod coverage;
+mod dispatch;
 mod event;
 pub mod evidence;
+mod group;
+mod job;
+mod lane;
+mod latency;
 mod ledger;
 mod log_copy;
 mod membership;
 pub mod moves;
 mod probes;
+mod ramp;
 mod rendezvous;
 mod roster;
 mod route;
 mod rumours;
+mod scatter;
 mod snapshot;
 mod start;
 pub mod verdict;
 mod verdicts;
 
+pub use crate::budget::{Budget, split};
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::group::Group;
+pub use crate::job::{Action, Admits, Denial, Job, Outcome, Tuning};
+pub use crate::lane::full_limit;
+pub use crate::latency::Latency;
 pub use crate::membership::{Membership, Outgoing, Repair, Timing};
+pub use crate::ramp::Ramp;
 pub use crate::rendezvous::rank;
-pub use crate::route::{Host, owners};
+pub use crate::route::{Host, group_key, owners, ranked};
+pub use crate::scatter::{Ask, Candidate, Scatter, Setback};
 pub use crate::snapshot::{Held, SnapshotId, choose};
 pub use crate::verdicts::{Verdict, Verdicts};
