--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -5,7 +5,7 @@
 
 use sapphirerack_catalogue::Name;
 use sapphirerack_policy::Tuning;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{Error, Result};
 
@@ -19,7 +19,7 @@
 const BOOKING_SEGMENT: usize = 768 << 10;
 
 /// Settings of one entry host.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Unique name of the host.
@@ -55,7 +55,7 @@
 }
 
 /// Addresses that a host listens on.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' HTTP.
@@ -67,7 +67,7 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// HTTP address.
@@ -78,7 +78,7 @@
 }
 
 /// Limits on callers' requests.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestLimits {
     /// Requests in hand at the same time.
@@ -100,7 +100,7 @@
 
 /// Requests that run at most once. `slots`, `segment` and `retention` must be the same on all
 /// hosts.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BookingSettings {
     /// Time that a booking may take if its caller does not say.
@@ -142,7 +142,7 @@
 }
 
 /// Planned stops.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
     /// Time for which the host goes on after it has announced that it leaves.
@@ -160,7 +160,7 @@
 }
 
 /// Datagrams between hosts; they use the port of `listen.hosts`.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GossipSettings {
     /// Time between two rounds.
@@ -182,7 +182,7 @@
 }
 
 /// How queries are run.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct QuerySettings {
     /// Requests that may wait at a target beyond its slots.
--- a/crates/sapphirerack/src/status.rs
+++ b/crates/sapphirerack/src/status.rs
@@ -10,8 +10,8 @@
 /// Columns of the table.
 const COLUMNS: [&str; 5] = ["host", "data_centre", "version", "ready", "live_hosts"];
 
-/// Columns that are known of other hosts.
-const ALL_COLUMNS: usize = 3;
+/// Columns of the table of all hosts.
+const ALL_COLUMNS: [&str; 3] = ["host", "data_centre", "version"];
 
 pub(crate) const COMMAND: Command = Command {
     name: "status",
@@ -27,24 +27,36 @@
 }
 
 fn run(args: &Args) -> Result<()> {
-    let path = if args.is_set("all") { "/status?all=1" } else { "/status" };
+    let all = args.is_set("all");
+    let path = if all { "/status?all=1" } else { "/status" };
     let status = args.client()?.get("get status", path)?;
-    if args.is_set("json") {
-        print_json(&status);
-        return Ok(());
+    match (args.is_set("json"), all) {
+        (true, _) => print_json(&status),
+        (false, true) => print_all(&status),
+        (false, false) => print_table(&COLUMNS, &[row(&status, &COLUMNS)]),
     }
-    let hosts = match &status["hosts"] {
-        Value::Array(hosts) => hosts.as_slice(),
-        _ => std::slice::from_ref(&status),
-    };
-    let columns = if args.is_set("all") { &COLUMNS[..ALL_COLUMNS] } else { &COLUMNS };
-    let row = |host: &Value| columns.iter().map(|c| field(host, c)).collect();
-    print_table(columns, &hosts.iter().map(row).collect::<Vec<_>>());
-    for host in status["unasked"].as_array().into_iter().flatten() {
-        println!("no answer: {} in {}", field(host, "host"), field(host, "data_centre"));
+    Ok(())
+}
+
+fn print_all(status: &Value) {
+    let list = |name: &str| status[name].as_array().cloned().unwrap_or_default();
+    let mut rows: Vec<_> = list("hosts").iter().map(|h| row(h, &ALL_COLUMNS)).collect();
+    rows.extend(list("unasked").iter().map(|h| {
+        let mut cells = row(h, &ALL_COLUMNS);
+        cells[2] = "not asked".into();
+        cells
+    }));
+    print_table(&ALL_COLUMNS, &rows);
+    for data_centre in list("cut") {
+        println!("data centre {} is cut off", data_centre.as_str().unwrap_or("-"));
     }
-    for name in status["cut"].as_array().into_iter().flatten() {
-        println!("cut off: data centre {}", name.as_str().unwrap_or_default());
+    let version = field(status, "version");
+    match status["everywhere"].as_bool() {
+        Some(true) => println!("version {version} is in force everywhere"),
+        _ => println!("version {version} is not known to be in force everywhere"),
     }
-    Ok(())
+}
+
+fn row(host: &Value, columns: &[&str]) -> Vec<String> {
+    columns.iter().map(|c| field(host, c)).collect()
 }
