--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -36,9 +36,9 @@
     pub extra_load: f64,
 }
 
-/// Runs the demonstration with the shipped binary `program`.
-pub fn run(program: &Path) -> Summary {
-    let shape = Shape {
+/// Shape of the demonstration's setup.
+pub fn shape() -> Shape {
+    Shape {
         data_centres: ["munich", "nuremberg", "augsburg"].map(Into::into).to_vec(),
         hosts: 2,
         shards: 10,
@@ -46,7 +46,12 @@
         service: Duration::from_millis(4),
         stragglers: 0.01,
         seed: 1,
-    };
+    }
+}
+
+/// Runs the demonstration with the shipped binary `program`.
+pub fn run(program: &Path) -> Summary {
+    let shape = shape();
     let fleet = Fleet::start(program, &shape);
     fleet.apply(program);
     fleet.await_ready();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod fake_peers;
 pub mod fleet;
 pub mod history;
+pub mod hold;
 pub mod load;
 mod network;
 mod plan;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,16 +10,21 @@
 use sapphirerack_lab::load::{LoadError, LoadFile};
 use sapphirerack_lab::slopes::Slope;
 use sapphirerack_lab::{
-    demo, experiment, load, report, slope_bookings, slope_control, slope_search, slopes, verdict,
+    demo, experiment, hold, load, report, slope_bookings, slope_control, slope_search, slopes,
+    verdict,
 };
 use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
+       lab hold [--seconds N]
        lab load [--json FILE] LOAD_FILE
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
        lab slopes [--json FILE] [--repeats N] [--only EXPERIMENT]
        lab verdict [--json FILE]";
 
+/// Time for which `lab hold` keeps its setup up, in seconds.
+const HOLD_SECONDS: u64 = 120;
+
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
 
@@ -54,6 +59,12 @@
             println!("{}", serde_json::to_string(&demo::run(&program())).unwrap());
             Ok(())
         }
+        "hold" => {
+            let seconds = matches.opt_get_default("seconds", HOLD_SECONDS);
+            let seconds = seconds.map_err(|e| Error::Usage(format!("--seconds: {e}")))?;
+            hold::run(&program(), std::time::Duration::from_secs(seconds));
+            Ok(())
+        }
         "load" => {
             let [path] = matches.free.as_slice() else {
                 return Err(Error::Usage("expected one load file".into()));
