--- a/crates/host/src/claim.rs
+++ b/crates/host/src/credentials.rs
@@ -14,14 +14,14 @@
 
 /// A member's name with the hash of the key that came with it.
 #[derive(Clone, Debug)]
-pub(crate) struct Claim {
+pub(crate) struct Credentials {
     pub member: Name,
     hash: Name,
     founding: Option<Name>,
 }
 
-impl Claim {
-    /// Reads the claim of a request; `founding` is the hash in the host's settings.
+impl Credentials {
+    /// Reads the credentials of a request; `founding` is the hash in the host's settings.
     pub(crate) fn read(request: &Request, founding: Option<&Name>) -> Result<Self, Response> {
         let member = request.header(MEMBER_HEADER).filter(|m| !m.is_empty());
         let key = request.header(KEY_HEADER).and_then(|v| v.strip_prefix(KEY_SCHEME));
@@ -34,7 +34,7 @@
         Ok(Self { member: member.into(), hash: key_hash(key), founding })
     }
 
-    /// Checks the claim against a catalogue.
+    /// Checks the credentials against a catalogue.
     pub(crate) fn check(&self, catalogue: &Catalogue) -> Result<(), Rejection> {
         let expected = if catalogue.members.is_empty() {
             self.founding.as_ref()
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -9,11 +9,12 @@
 use serde::Serialize;
 
 use crate::changes::{Changes, Rejection};
-use crate::claim::Claim;
 use crate::config::Config;
+use crate::credentials::Credentials;
 use crate::member_front;
 use crate::metrics::Metrics;
 use crate::move_front::MoveFront;
+use crate::shutdown::Leaving;
 use crate::status::Reporter;
 use crate::{Error, Result};
 
@@ -43,6 +44,7 @@
     metrics: Arc<Metrics>,
     changes: Arc<Changes>,
     moves: MoveFront,
+    leaving: Arc<Leaving>,
     founding: Option<Name>,
 }
 
@@ -53,9 +55,10 @@
         metrics: Arc<Metrics>,
         changes: Arc<Changes>,
         moves: MoveFront,
+        leaving: Arc<Leaving>,
         founding: Option<Name>,
     ) -> Self {
-        Self { config, reporter, metrics, changes, moves, founding }
+        Self { config, reporter, metrics, changes, moves, leaving, founding }
     }
 
     /// Serves operators at `address`.
@@ -90,6 +93,9 @@
         if self.config.view().version == 0 {
             return Response::text(503, "no configuration yet\n");
         }
+        if self.leaving.is_set() {
+            return Response::text(503, "leaving\n");
+        }
         Response::text(200, "ready\n")
     }
 
@@ -106,8 +112,8 @@
     }
 
     fn put(&self, request: &Request) -> Response {
-        let claim = match Claim::read(request, self.founding.as_ref()) {
-            Ok(claim) => claim,
+        let credentials = match Credentials::read(request, self.founding.as_ref()) {
+            Ok(credentials) => credentials,
             Err(refusal) => return refusal,
         };
         let Some(id) = request.header(CHANGE_HEADER) else {
@@ -123,12 +129,17 @@
             Err(e) => return Response::refuse(400, &e.to_string(), true),
         };
         let id = change_id(id, &request.body);
-        let member = claim.member.clone();
+        let member = credentials.member.clone();
         let change = Change { id, member, summary: "catalogue".into(), base };
-        self.change(&change, &claim, &catalogue)
+        self.change(&change, &credentials, &catalogue)
     }
 
-    fn change(&self, change: &Change, claim: &Claim, catalogue: &Catalogue) -> Response {
+    fn change(
+        &self,
+        change: &Change,
+        credentials: &Credentials,
+        catalogue: &Catalogue,
+    ) -> Response {
         let edit = |current: &Catalogue| {
             // Moves and proposals change through their own requests alone.
             let next = Catalogue {
@@ -136,10 +147,10 @@
                 proposals: current.proposals.clone(),
                 ..catalogue.clone()
             };
-            claim.authorize(current, &next)?;
+            credentials.authorize(current, &next)?;
             Ok(next)
         };
-        match self.changes.submit(change, claim, edit) {
+        match self.changes.submit(change, credentials, edit) {
             Ok(version) => Response::json(200, &Accepted { version }),
             Err(e) => refuse(&e),
         }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -73,7 +73,6 @@
     }
 
     /// Tells the others that this host leaves, so that they send it no new work.
-    #[allow(dead_code, reason = "called by the shutdown")]
     pub(crate) fn announce_leaving(&self) {
         let now = self.clock.now();
         self.update(|m| m.leave(now));
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -4,9 +4,9 @@
 
 use crate::client::Client;
 use crate::error::{Error, Result};
-use crate::{apply, check, get, member, serve, status};
+use crate::{apply, check, get, member, moves, serve, status};
 
-const COMMANDS: [&Command; 7] = [
+const COMMANDS: [&Command; 12] = [
     &serve::COMMAND,
     &check::COMMAND,
     &apply::COMMAND,
@@ -14,10 +14,15 @@
     &status::COMMAND,
     &member::PROPOSE,
     &member::APPROVE,
+    &moves::DRAIN,
+    &moves::RESTORE,
+    &moves::RETIRE,
+    &moves::SHIFT,
+    &moves::MOVES,
 ];
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 can't run, 2 usage, 3 file refused, \
-     4 no answer, 5 refused, 6 conflict, 7 outcome unknown";
+     4 no answer, 5 refused, 6 conflict, 7 outcome unknown, 8 move reversed";
 
 /// A command of the command line.
 pub(crate) struct Command {
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -18,6 +18,7 @@
 mod error;
 mod get;
 mod member;
+mod moves;
 mod output;
 mod serve;
 mod status;
--- a/crates/sapphirerack/tests/rights.rs
+++ b/crates/sapphirerack/tests/rights.rs
@@ -29,7 +29,7 @@
 }
 
 /// Asks host 0 with a member and a key; returns status and body.
-fn ask(fleet: &Fleet, request: minreq::Request, member: &str, key: &str) -> (i32, Value) {
+fn ask(fleet: &Fleet, request: minreq::Request, member: &str, key: &str) -> (u16, Value) {
     let request = request.with_header("x-member", member).with_timeout(20);
     let request = request.with_header("authorization", format!("Bearer {key}"));
     let response = request.with_header("x-change-id", "c1").send().unwrap();
