--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
+//! - `history`: checks histories of concurrent runs
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
 //! - `process`: entry hosts as processes
@@ -22,8 +23,9 @@
 //! - `answer`: checks of answers
 //! - `report`: table and JSON lines of runs
 //! - `slopes`: what grows with what
-//! - `slope_search`, `slope_control`: what is measured for it
+//! - `slope_search`, `slope_control`, `slope_bookings`: what is measured for it
 //! - `fake_peers`: many peers of one host
+//! - `verdict`: the rule that judges new versions, beside fixed thresholds
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -37,6 +39,7 @@
 pub mod experiment;
 pub mod fake_peers;
 pub mod fleet;
+pub mod history;
 pub mod load;
 mod network;
 mod plan;
@@ -44,9 +47,11 @@
 pub mod relay;
 pub mod report;
 mod server;
+pub mod slope_bookings;
 pub mod slope_control;
 pub mod slope_search;
 pub mod slopes;
 mod slots;
 pub mod store;
 pub mod target;
+pub mod verdict;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,13 +9,16 @@
 use getopts::{Matches, Options};
 use sapphirerack_lab::load::{LoadError, LoadFile};
 use sapphirerack_lab::slopes::Slope;
-use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
+use sapphirerack_lab::{
+    demo, experiment, load, report, slope_bookings, slope_control, slope_search, slopes, verdict,
+};
 use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
        lab load [--json FILE] LOAD_FILE
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
-       lab slopes [--json FILE] [--only EXPERIMENT]";
+       lab slopes [--json FILE] [--repeats N] [--only EXPERIMENT]
+       lab verdict [--json FILE]";
 
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
@@ -61,6 +64,7 @@
         }
         "bench" => measure(&bench(&matches)?, &matches),
         "slopes" => slopes(&matches),
+        "verdict" => judge(&matches),
         other => Err(Error::Usage(format!("unknown command {other:?}"))),
     }
 }
@@ -117,22 +121,26 @@
 /// An experiment that measures slopes.
 type Experiment = fn(&Path) -> Vec<Slope>;
 
-const EXPERIMENTS: [(&str, Experiment); 6] = [
+const EXPERIMENTS: [(&str, Experiment); 8] = [
     ("search", slope_search::measure),
     ("catalogue", slope_control::catalogue),
     ("peers", slope_control::peers),
     ("hosts", slope_control::hosts),
     ("links", slope_control::links),
     ("changes", slope_control::changes),
+    ("moves", slope_control::moves),
+    ("bookings", slope_bookings::measure),
 ];
 
 fn slopes(matches: &Matches) -> Result<(), Error> {
     let only = matches.opt_strs("only");
+    let repeats = matches.opt_get_default("repeats", 1);
+    let repeats = repeats.map_err(|e| Error::Usage(format!("--repeats: {e}")))?;
     let mut lines = Lines::open(matches)?;
     let mut all = Vec::new();
     for (name, measure) in EXPERIMENTS {
         if only.is_empty() || only.iter().any(|o| o == name) {
-            let measured = measure(&program());
+            let measured = slopes::repeat(repeats, || measure(&program()));
             measured.iter().for_each(|slope| lines.write(slope));
             all.extend(measured);
         }
@@ -141,6 +149,12 @@
     Ok(())
 }
 
+/// Measures the rule that judges new versions.
+fn judge(matches: &Matches) -> Result<(), Error> {
+    verdict::run(&mut *Lines::open(matches)?.0);
+    Ok(())
+}
+
 /// Where JSON lines go.
 struct Lines(Box<dyn Write>);
 
