--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -178,14 +178,28 @@
             if old.all().any(|k| k == key) {
                 continue;
             }
-            match self.store.swap(&part_key(key), 0, part) {
-                Ok(_) => {}
+            self.write_part(key, part)?;
+        }
+        Ok(())
+    }
+
+    /// Writes a part; an answer that is lost is settled by reading the part back.
+    fn write_part(&self, key: &str, part: &Part) -> Result<(), Rejection> {
+        let key = part_key(key);
+        let limit = self.clock.now() + SETTLE_TIME;
+        loop {
+            let error = match self.store.swap(&key, 0, part) {
+                Ok(_) => return Ok(()),
                 // The key is the part's digest: whoever wrote it wrote the same.
-                Err(e) if e.classify() == Category::Conflict => {}
-                Err(e) => return Err(unavailable(e)),
+                Err(e) if e.classify() == Category::Conflict => return Ok(()),
+                Err(e) => e,
+            };
+            match self.store.get(&key) {
+                Ok(Some(_)) => return Ok(()),
+                Ok(None) if self.clock.now() < limit => (self.sleep)(SETTLE_PAUSE),
+                _ => return Err(unavailable(error)),
             }
         }
-        Ok(())
     }
 
     fn write_head(&self, stored: u64, next: &Head, id: &str) -> Result<Written, Rejection> {
--- a/crates/repository/tests/changes.rs
+++ b/crates/repository/tests/changes.rs
@@ -56,6 +56,16 @@
     assert_eq!(head(&store).version, 1);
 }
 
+#[test]
+fn part_whose_answer_is_lost_does_not_stop_the_change() {
+    for fault in [Fault::LostAfter, Fault::LostBefore, Fault::Refused] {
+        let store = Fake::new(1);
+        store.plan([fault]);
+
+        assert_eq!(submit(&store, &change("a")), Ok(1), "{fault:?}");
+    }
+}
+
 #[test]
 fn lost_answer_is_settled_although_others_changed_since() {
     let store = Fake::new(1);
