--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -25,6 +25,9 @@
 /// Times that an edit is tried again on a newer catalogue.
 const EDIT_TRIES: usize = 8;
 
+/// Time after which a head that can't be read is given up.
+const READ_TIME: Duration = Duration::from_secs(3);
+
 /// Time after which a write of unknown outcome is given up.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
 
@@ -141,16 +144,17 @@
         Err(Rejection::Conflict("others change the catalogue all the time".into()))
     }
 
-    /// Newest head; waits for a store that shows one older than `floor`.
+    /// Newest head; waits for a store that does not answer or shows one older than `floor`.
     fn newest(&self, floor: u64) -> Result<(u64, Head), Rejection> {
-        let limit = self.clock.now() + SETTLE_TIME;
+        let limit = self.clock.now() + READ_TIME;
         loop {
-            let (stored, head) = self.head()?;
-            if head.version >= floor {
-                return Ok((stored, head));
-            }
+            let reason = match self.head() {
+                Ok((stored, head)) if head.version >= floor => return Ok((stored, head)),
+                Ok((_, head)) => format!("store shows {}, {floor} is in force", head.version),
+                Err(Rejection::Unavailable(reason)) => reason,
+                Err(e) => return Err(e),
+            };
             if self.clock.now() >= limit {
-                let reason = format!("store shows version {}, {floor} is in force", head.version);
                 return Err(Rejection::Unavailable(reason));
             }
             (self.sleep)(SETTLE_PAUSE);
