--- a/crates/host/src/changes.rs
+++ b/crates/host/src/changes.rs
@@ -5,8 +5,8 @@
 use sapphirerack_catalogue::{Catalogue, Name};
 use sapphirerack_repository::{Change, Repository, View};
 
-use crate::claim::Claim;
 use crate::config::Config;
+use crate::credentials::Credentials;
 
 pub(crate) use sapphirerack_repository::Rejection;
 
@@ -34,17 +34,17 @@
     }
 
     /// Applies `edit` to the newest catalogue as `change` of a member that proves itself; returns
-    /// the accepted version. The edit must check the claim against the catalogue that it is given.
+    /// the accepted version. The edit must check the credentials against the catalogue that it is given.
     pub(crate) fn submit(
         &self,
         change: &Change,
-        claim: &Claim,
+        credentials: &Credentials,
         edit: impl Fn(&Catalogue) -> Result<Catalogue, Rejection>,
     ) -> Result<u64, Rejection> {
         let view = self.config.view();
         if view.version > 0 {
             // A repeated change is not edited again, yet its member must prove itself.
-            claim.check(&view.catalogue)?;
+            credentials.check(&view.catalogue)?;
         }
         self.carry_out(change, edit)
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -36,7 +36,7 @@
 //! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
-//! - `claim`: which member a request comes from
+//! - `credentials`: which member a request comes from
 //! - `member_front`: operators' HTTP for members
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
@@ -50,11 +50,11 @@
 mod bookings;
 mod calls;
 mod changes;
-mod claim;
 mod claims;
 mod collect;
 mod config;
 mod contacts;
+mod credentials;
 mod entry;
 mod errand;
 mod error;
--- a/crates/host/src/member_front.rs
+++ b/crates/host/src/member_front.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::changes::{Changes, Rejection};
-use crate::claim::Claim;
+use crate::credentials::Credentials;
 use crate::operators::{CHANGE_HEADER, refuse};
 
 /// A member's consent to a proposal.
@@ -37,9 +37,9 @@
         (&Method::POST, "/members/approve") => order_approve(request),
         _ => return None,
     };
-    Some(Claim::read(request, founding).and_then(|claim| {
+    Some(Credentials::read(request, founding).and_then(|credentials| {
         let order = order.map_err(|e| Response::refuse(400, &e.to_string(), true))?;
-        submit(request, changes, &claim, &order)
+        submit(request, changes, &credentials, &order)
     }))
     .map(|result| result.unwrap_or_else(|refusal| refusal))
 }
@@ -60,7 +60,7 @@
 fn submit(
     request: &Request,
     changes: &Arc<Changes>,
-    claim: &Claim,
+    credentials: &Credentials,
     order: &Order,
 ) -> Result<Response, Response> {
     let id = request
@@ -72,20 +72,24 @@
     };
     let change = Change {
         id: change_id(id, &request.body),
-        member: claim.member.clone(),
+        member: credentials.member.clone(),
         summary: format!("{what} member {name}").into(),
         base: None,
     };
-    let edit = |catalogue: &Catalogue| edit(catalogue, claim, order);
-    match changes.submit(&change, claim, edit) {
+    let edit = |catalogue: &Catalogue| edit(catalogue, credentials, order);
+    match changes.submit(&change, credentials, edit) {
         Ok(version) => Ok(Response::json(200, &Accepted { version })),
         Err(e) => Ok(refuse(&e)),
     }
 }
 
-fn edit(catalogue: &Catalogue, claim: &Claim, order: &Order) -> Result<Catalogue, Rejection> {
-    claim.check(catalogue)?;
-    let by = claim.member.clone();
+fn edit(
+    catalogue: &Catalogue,
+    credentials: &Credentials,
+    order: &Order,
+) -> Result<Catalogue, Rejection> {
+    credentials.check(catalogue)?;
+    let by = credentials.member.clone();
     let edited = match order {
         Order::Propose(member) => propose(catalogue, member.clone(), by),
         Order::Approve(consent) => approve(catalogue, &consent.name, &consent.digest, by),
--- a/crates/host/src/move_front.rs
+++ b/crates/host/src/move_front.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::changes::{Changes, Rejection};
-use crate::claim::Claim;
 use crate::config::Config;
+use crate::credentials::Credentials;
 use crate::judge::Summary;
 use crate::moves::Moves;
 use crate::operators::refuse;
@@ -127,8 +127,8 @@
     }
 
     fn start(&self, request: &Request) -> Response {
-        let claim = match Claim::read(request, self.founding.as_ref()) {
-            Ok(claim) => claim,
+        let credentials = match Credentials::read(request, self.founding.as_ref()) {
+            Ok(credentials) => credentials,
             Err(refusal) => return refusal,
         };
         let order: Order = match serde_json::from_slice(&request.body) {
@@ -138,17 +138,17 @@
         let id = order.id.clone();
         let change = Change {
             id: change_id(&format!("move-{id}"), &request.body),
-            member: claim.member.clone(),
+            member: credentials.member.clone(),
             summary: format!("move {id}").into(),
             base: None,
         };
-        let owner = claim.member.clone();
+        let owner = credentials.member.clone();
         let plan = Plan { id: order.id, owner, goal: order.goal, within: order.within };
         let edit = |catalogue: &Catalogue| {
-            claim.check(catalogue)?;
+            credentials.check(catalogue)?;
             self.edit(catalogue, &plan)
         };
-        match self.changes.submit(&change, &claim, edit) {
+        match self.changes.submit(&change, &credentials, edit) {
             Ok(version) => Response::json(200, &Accepted { id, version }),
             Err(e) => refuse(&e),
         }
--- a/crates/lab/src/slope_control.rs
+++ b/crates/lab/src/slope_control.rs
@@ -8,7 +8,7 @@
 use sapphirerack_catalogue::{Goal, Move, MoveState, Name, Service, Stage, Undecided, WHOLE};
 
 use crate::fake_peers::FakePeers;
-use crate::fleet::{Fleet, HostProcess, Plan};
+use crate::fleet::{Fleet, HostProcess, MEMBER_KEY, Plan};
 use crate::slopes::{Series, Slope};
 
 const CATALOGUE_SIZES: [usize; 4] = [300, 1_000, 2_000, 4_000];
@@ -133,9 +133,11 @@
         fleet.store.reset_calls();
         let start = Instant::now();
         let before: Vec<Duration> = fleet.hosts.iter().map(HostProcess::cpu).collect();
+        let bytes = control_bytes(&fleet);
         thread::sleep(IDLE);
         let seconds = start.elapsed().as_secs_f64();
         let calls = fleet.store.calls();
+        let after = control_bytes(&fleet);
         let cpu: f64 =
             fleet.hosts.iter().zip(before).map(|(h, b)| share(h.cpu() - b, seconds)).sum();
         let memory: u64 = fleet.hosts.iter().map(HostProcess::memory).sum();
@@ -147,6 +149,8 @@
                 ("store watches of all hosts", "/s", calls.watches as f64 / seconds),
                 ("host list reads of all hosts", "/s", calls.hosts as f64 / seconds),
                 ("store writes of all hosts", "/s", calls.writes as f64 / seconds),
+                ("datagram bytes sent by a host", "B/s", mean(after.0 - bytes.0) / seconds),
+                ("datagram bytes received by a host", "B/s", mean(after.1 - bytes.1) / seconds),
                 ("idle CPU of a host by hosts", "% of a core", mean(cpu)),
                 ("memory of a host by hosts", "KB", mean(memory as f64)),
             ],
@@ -273,6 +277,8 @@
     let host = &fleet.hosts[i % fleet.hosts.len()];
     let response = minreq::put(format!("http://{}/catalogue", host.operators))
         .with_header("x-change-id", format!("slope-{i}"))
+        .with_header("x-member", &*fleet.catalogue.members[0].name)
+        .with_header("authorization", format!("Bearer {MEMBER_KEY}"))
         .with_body(serde_json::to_string(&fleet.catalogue).unwrap())
         .with_timeout(10)
         .send()
@@ -287,6 +293,19 @@
     response.map_or(0, |r| field(r.as_str().unwrap_or_default(), "version"))
 }
 
+/// Bytes of datagrams that all hosts sent and received.
+fn control_bytes(fleet: &Fleet) -> (f64, f64) {
+    let mut sum = (0, 0);
+    for host in &fleet.hosts {
+        let url = format!("http://{}/status", host.operators);
+        let response = minreq::get(url).with_timeout(5).send().unwrap();
+        let text = response.as_str().unwrap();
+        sum.0 += field(text, "gossip_sent");
+        sum.1 += field(text, "gossip_received");
+    }
+    (sum.0 as f64, sum.1 as f64)
+}
+
 fn field(text: &str, name: &str) -> u64 {
     let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
     value[name].as_u64().unwrap_or(0)
--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -25,6 +25,9 @@
 /// Times that an edit is tried again on a newer catalogue.
 const EDIT_TRIES: usize = 8;
 
+/// Time after which a head that can't be read is given up.
+const READ_TIME: Duration = Duration::from_secs(3);
+
 /// Time after which a write of unknown outcome is given up.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
 
@@ -141,16 +144,17 @@
         Err(Rejection::Conflict("others change the catalogue all the time".into()))
     }
 
-    /// Newest head; waits for a store that shows one older than `floor`.
+    /// Newest head; waits for a store that does not answer or shows one older than `floor`.
     fn newest(&self, floor: u64) -> Result<(u64, Head), Rejection> {
-        let limit = self.clock.now() + SETTLE_TIME;
+        let limit = self.clock.now() + READ_TIME;
         loop {
-            let (stored, head) = self.head()?;
-            if head.version >= floor {
-                return Ok((stored, head));
-            }
+            let reason = match self.head() {
+                Ok((stored, head)) if head.version >= floor => return Ok((stored, head)),
+                Ok((_, head)) => format!("store shows {}, {floor} is in force", head.version),
+                Err(Rejection::Unavailable(reason)) => reason,
+                Err(e) => return Err(e),
+            };
             if self.clock.now() >= limit {
-                let reason = format!("store shows version {}, {floor} is in force", head.version);
                 return Err(Rejection::Unavailable(reason));
             }
             (self.sleep)(SETTLE_PAUSE);
@@ -178,14 +182,28 @@
             if old.all().any(|k| k == key) {
                 continue;
             }
-            match self.store.swap(&part_key(key), 0, part) {
-                Ok(_) => {}
+            self.write_part(key, part)?;
+        }
+        Ok(())
+    }
+
+    /// Writes a part; an answer that is lost is settled by reading the part back.
+    fn write_part(&self, key: &str, part: &Part) -> Result<(), Rejection> {
+        let key = part_key(key);
+        let limit = self.clock.now() + SETTLE_TIME;
+        loop {
+            let error = match self.store.swap(&key, 0, part) {
+                Ok(_) => return Ok(()),
                 // The key is the part's digest: whoever wrote it wrote the same.
-                Err(e) if e.classify() == Category::Conflict => {}
-                Err(e) => return Err(unavailable(e)),
+                Err(e) if e.classify() == Category::Conflict => return Ok(()),
+                Err(e) => e,
+            };
+            match self.store.get(&key) {
+                Ok(Some(_)) => return Ok(()),
+                Ok(None) if self.clock.now() < limit => (self.sleep)(SETTLE_PAUSE),
+                _ => return Err(unavailable(error)),
             }
         }
-        Ok(())
     }
 
     fn write_head(&self, stored: u64, next: &Head, id: &str) -> Result<Written, Rejection> {
--- a/crates/repository/src/in_force.rs
+++ b/crates/repository/src/in_force.rs
@@ -33,14 +33,9 @@
         }
     }
 
-    /// The view with another catalogue in its place, such as one with moves in effect.
-    pub fn with(&self, catalogue: Catalogue) -> Self {
-        Self {
-            version: self.version,
-            catalogue: Arc::new(catalogue),
-            keys: self.keys.clone(),
-            parts: self.parts.clone(),
-        }
+    /// The same version with what moves have in effect; it has no parts for other hosts.
+    pub fn projected(&self, catalogue: Catalogue) -> Self {
+        Self { version: self.version, catalogue: Arc::new(catalogue), ..Self::default() }
     }
 
     /// Part with the digest `key`, if it is of this view.
--- a/crates/sapphirerack/tests/moves.rs
+++ b/crates/sapphirerack/tests/moves.rs
@@ -170,6 +170,7 @@
     let (command, rest) = args.split_first().unwrap();
     Command::new(PROGRAM)
         .args([command, "--host", &host, "--member", "zeugenwerk"])
+        .env("SAPPHIRERACK_KEY", sapphirerack_lab::fleet::MEMBER_KEY)
         .args(rest)
         .env("SAPPHIRERACK_KEY", MEMBER_KEY)
         .output()
