Test moves under lost answers, freezes past the deadline and cuts

Cause: these failures must end alike on all hosts, with each step taken once. Change: three end-to-end tests; /moves tells the record's revision.

--- a/crates/host/src/move_front.rs
+++ b/crates/host/src/move_front.rs
@@ -49,6 +49,7 @@
     id: &'a str,
     owner: &'a str,
     goal: &'a Goal,
+    revision: u64,
     state: Progress,
     /// Whether the state is written down; a move that is taken back without the store is not yet.
     is_final: bool,
@@ -110,6 +111,7 @@
             id: &record.id,
             owner: &record.owner,
             goal: &record.goal,
+            revision: record.revision,
             state,
             is_final: !record.is_open(),
             stage,
--- a/crates/sapphirerack/tests/moves.rs
+++ b/crates/sapphirerack/tests/moves.rs
@@ -11,6 +11,7 @@
 
 use sapphirerack_catalogue::{Name, Target, TargetState};
 use sapphirerack_lab::fleet::{Fleet, Plan, Shape};
+use sapphirerack_lab::relay::RelayFault;
 use sapphirerack_lab::target::{Defect, DefectKind, Trigger};
 use serde_json::Value;
 
@@ -385,3 +386,64 @@
     assert_eq!((code(&first), code(&second)), (0, 0));
     assert_eq!(status(&fleet, 0, "out")["start"], revision["start"]);
 }
+
+/// Waits until the record is final on every host; gives its state, which all must agree on.
+fn await_final_everywhere(fleet: &Fleet, id: &str) -> String {
+    for host in 0..fleet.hosts.len() {
+        await_that("the record", || status(fleet, host, id)["is_final"] == true);
+    }
+    let end = state(fleet, 0, id);
+    for host in 1..fleet.hosts.len() {
+        assert_eq!(state(fleet, host, id), end, "{}", fleet.hosts[host].name);
+    }
+    end
+}
+
+#[test]
+fn step_is_taken_once_when_the_answers_of_the_store_are_lost() {
+    let fleet = launch(Plan::from(&shape()));
+    let output = operate(&fleet, &["drain", "munich", "--id", "out", "--deadline", "40s"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+
+    fleet.store.update(|fault| fault.lost = 0.7);
+    let end = await_final_everywhere(&fleet, "out");
+
+    assert_eq!(end, "done");
+    assert_eq!(status(&fleet, 0, "out")["revision"], 2, "one step from the start to the end");
+}
+
+#[test]
+fn host_frozen_past_the_deadline_agrees_with_the_others() {
+    let fleet = launch(Plan::from(&shape()));
+    let output = operate(&fleet, &["drain", "munich", "--id", "out", "--deadline", "14s"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    await_state_everywhere(&fleet, "out", "open");
+
+    fleet.hosts[1].freeze();
+    for host in [0, 2, 3] {
+        await_that("the record", || status(&fleet, host, "out")["is_final"] == true);
+    }
+    let end = state(&fleet, 0, "out");
+    fleet.hosts[1].thaw();
+
+    assert_eq!(await_final_everywhere(&fleet, "out"), end);
+    assert_eq!(status(&fleet, 1, "out")["revision"], 2);
+}
+
+#[test]
+fn data_centre_that_was_cut_off_learns_of_the_move() {
+    let fleet = launch(Plan::from(&shape()).with_network());
+    let cut = RelayFault { cut: true, ..RelayFault::default() };
+    fleet.between("munich", "nuremberg", cut);
+    fleet.cut_from_store("nuremberg", true);
+
+    let output = operate(&fleet, &["drain", "nuremberg", "--id", "out", "--deadline", "30s"]);
+    assert_eq!(code(&output), 0, "{output:?}");
+    await_that("the end", || status(&fleet, 0, "out")["is_final"] == true);
+    let end = state(&fleet, 0, "out");
+    fleet.between("munich", "nuremberg", RelayFault::default());
+
+    // The store stays out of reach: the way is through the other hosts.
+    assert_eq!(await_final_everywhere(&fleet, "out"), end);
+    fleet.cut_from_store("nuremberg", false);
+}
