--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -29,6 +29,8 @@
 //! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
+//! - `claim`: which member a request comes from
+//! - `member_front`: operators' HTTP for members
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
 //! - `fetch`: what other hosts have and this one misses
@@ -41,6 +43,7 @@
 mod bookings;
 mod calls;
 mod changes;
+mod claim;
 mod claims;
 mod config;
 mod entry;
@@ -53,6 +56,7 @@
 mod issued;
 mod judge;
 mod links;
+mod member_front;
 mod metrics;
 mod move_front;
 mod moves;
--- a/crates/host/src/move_front.rs
+++ b/crates/host/src/move_front.rs
@@ -6,9 +6,11 @@
 use sapphirerack_catalogue::{Catalogue, Goal, Move, Name, Reason, Stage};
 use sapphirerack_http::{Method, Request, Response};
 use sapphirerack_policy::moves::{self, Effect, Plan, StartError};
+use sapphirerack_repository::{Change, change_id};
 use serde::{Deserialize, Serialize};
 
 use crate::changes::{Changes, Rejection};
+use crate::claim::Claim;
 use crate::config::Config;
 use crate::judge::Summary;
 use crate::moves::Moves;
@@ -71,6 +73,8 @@
     pub(crate) routing: Arc<Routing>,
     pub(crate) changes: Arc<Changes>,
     pub(crate) moves: Arc<Moves>,
+    /// SHA-256 of the key that founds an empty catalogue.
+    pub(crate) founding: Option<Name>,
 }
 
 impl MoveFront {
@@ -125,17 +129,29 @@
     }
 
     fn start(&self, request: &Request) -> Response {
-        let Some(owner) = request.header("x-member").map(Name::from) else {
-            return Response::refuse(401, "x-member: expected the name of a member", true);
+        let claim = match Claim::read(request, self.founding.as_ref()) {
+            Ok(claim) => claim,
+            Err(refusal) => return refusal,
         };
         let order: Order = match serde_json::from_slice(&request.body) {
             Ok(order) => order,
             Err(e) => return Response::refuse(400, &e.to_string(), true),
         };
         let id = order.id.clone();
-        let change = Name::from(format!("move-{id}"));
+        let change = Change {
+            id: change_id(&format!("move-{id}"), &request.body),
+            member: claim.member.clone(),
+            summary: format!("move {id}").into(),
+            base: None,
+        };
+        let owner = claim.member.clone();
         let plan = Plan { id: order.id, owner, goal: order.goal, within: order.within };
-        match self.changes.apply(change, |catalogue| self.edit(catalogue, &plan)) {
+        let edit = |catalogue: &Catalogue| {
+            claim.check(catalogue)?;
+            check_owner(catalogue, &plan).map_err(|reason| claim.forbidden(reason))?;
+            self.edit(catalogue, &plan)
+        };
+        match self.changes.submit(&change, &claim, edit) {
             Ok(version) => Response::json(200, &Accepted { id, version }),
             Err(e) => refuse(&e),
         }
@@ -146,7 +162,6 @@
         if catalogue.find_move(&plan.id).is_some_and(|m| m.goal == plan.goal) {
             return Ok(catalogue.clone());
         }
-        check_owner(catalogue, plan)?;
         moves::start(catalogue, plan.clone(), self.routing.now()).map_err(|e| match e {
             StartError::Conflict(_) => Rejection::Conflict(e.to_string()),
             _ => Rejection::Invalid(e.to_string()),
@@ -155,7 +170,7 @@
 }
 
 /// Services and targets are moved by their owner alone, data centres by any member.
-fn check_owner(catalogue: &Catalogue, plan: &Plan) -> Result<(), Rejection> {
+fn check_owner(catalogue: &Catalogue, plan: &Plan) -> Result<(), String> {
     let owner = match &plan.goal {
         Goal::Drain { .. } | Goal::Restore { .. } => None,
         Goal::Retire { target } => {
@@ -168,7 +183,7 @@
     };
     match owner {
         Some(owner) if *owner != plan.owner => {
-            Err(Rejection::Invalid(format!("{:?} belongs to {owner:?}", plan.goal.subject())))
+            Err(format!("{:?} belongs to {owner:?}", plan.goal.subject()))
         }
         _ => Ok(()),
     }
--- a/crates/sapphirerack/tests/moves.rs
+++ b/crates/sapphirerack/tests/moves.rs
@@ -9,8 +9,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::{Name, Target, TargetState};
-use sapphirerack_lab::fleet::{Fleet, Plan, Shape};
+use sapphirerack_catalogue::{Member, Name, Target, TargetState};
+use sapphirerack_lab::fleet::{Fleet, MEMBER_KEY, Plan, Shape};
 use sapphirerack_lab::relay::RelayFault;
 use sapphirerack_lab::target::{Defect, DefectKind, Trigger};
 use serde_json::Value;
@@ -172,6 +172,7 @@
     Command::new(PROGRAM)
         .args([command, "--host", &host, "--member", "zeugenwerk"])
         .args(rest)
+        .env("SAPPHIRERACK_KEY", MEMBER_KEY)
         .output()
         .unwrap()
 }
@@ -447,3 +448,23 @@
     assert_eq!(await_final_everywhere(&fleet, "out"), end);
     fleet.cut_from_store("nuremberg", false);
 }
+
+#[test]
+fn move_of_another_members_service_is_refused() {
+    let mut plan = Plan::from(&shape());
+    let other = Member { name: "castlegate".into(), ..plan.catalogue.members[0].clone() };
+    plan.catalogue.members.push(other);
+    let fleet = launch(plan);
+    let host = fleet.hosts[0].operators.to_string();
+    let attempt = |member: &str, key: &str| {
+        let mut command = Command::new(PROGRAM);
+        command.args(["retire", "--host", &host, "--member", member, "--id", "out"]);
+        command.args(["--deadline", "60s", "search-0-munich"]).env("SAPPHIRERACK_KEY", key);
+        code(&command.output().unwrap())
+    };
+
+    assert_eq!(attempt("castlegate", MEMBER_KEY), 5, "another member");
+    assert_eq!(attempt("zeugenwerk", "wrong"), 5, "a wrong key");
+    assert_eq!(status(&fleet, 0, "out")["id"], Value::Null, "nothing changed");
+    assert_eq!(attempt("zeugenwerk", MEMBER_KEY), 0);
+}
