--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -133,7 +133,7 @@
             request: id,
             service: service.into(),
             route: route.into(),
-            body: request.body.clone(),
+            body: request.body.as_slice().into(),
             timeout,
         })
     }
--- /dev/null
+++ b/crates/host/src/routes.rs
@@ -0,0 +1,49 @@
+//! Which hosts are asked about the shards of each service, kept between queries.
+//!
+//! Ranking the hosts of a large data centre for every shard of every query would cost more than
+//! the query. The ranking holds as long as the catalogue and the live hosts are the same.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use sapphirerack_catalogue::{Map, Name, Service};
+use sapphirerack_policy::{Candidate, Host, owners};
+
+use crate::config::View;
+
+/// Candidates of each shard of a service.
+pub(crate) type Route = Arc<[Vec<Candidate>]>;
+
+#[derive(Default)]
+struct Cache {
+    view: Arc<View>,
+    live: Arc<[Host]>,
+    routes: Map<Name, Route>,
+}
+
+/// Routes by service.
+#[derive(Default)]
+pub(crate) struct Routes {
+    cache: Mutex<Cache>,
+}
+
+impl Routes {
+    /// Candidates of each shard for an entry host in data centre `own`.
+    pub(crate) fn get(
+        &self,
+        view: &Arc<View>,
+        live: &Arc<[Host]>,
+        service: &Service,
+        own: &str,
+    ) -> Route {
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        if !Arc::ptr_eq(&cache.view, view) || !Arc::ptr_eq(&cache.live, live) {
+            let (view, live) = (view.clone(), live.clone());
+            *cache = Cache { view, live, routes: Map::default() };
+        }
+        let rank = || {
+            let shards = service.shards.iter();
+            shards.map(|s| owners(&view.catalogue, service, s, own, live)).collect()
+        };
+        cache.routes.entry(service.name.clone()).or_insert_with(rank).clone()
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/scatter.rs
@@ -0,0 +1,147 @@
+//! A scattered query, event by event.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use sapphirerack_policy::{Ask, Budget, Candidate, Host, Scatter, Setback};
+
+const DELAY: Duration = Duration::from_millis(10);
+
+fn candidate(name: &str, centre: &str, replicas: usize) -> Candidate {
+    let host = Host {
+        name: name.into(),
+        data_centre: centre.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+    };
+    Candidate { host, replicas }
+}
+
+/// Two hosts in each of two data centres, one replica in each.
+fn candidates() -> Vec<Candidate> {
+    let names = [("a0", "a"), ("a1", "a"), ("b0", "b"), ("b1", "b")];
+    names.iter().map(|(name, centre)| candidate(name, centre, 1)).collect()
+}
+
+fn trust(_: &Host) -> bool {
+    false
+}
+
+fn budget() -> Budget {
+    Budget::new(0.05, 4.0)
+}
+
+fn ask(candidate: usize) -> Ask {
+    Ask { shard: 0, candidate }
+}
+
+#[test]
+fn first_candidate_is_asked_first() {
+    let shard = candidates();
+    let mut scatter = Scatter::new([&*shard]);
+
+    assert_eq!(scatter.start(Instant::now(), &trust), [ask(0)]);
+}
+
+#[test]
+fn suspected_host_is_passed_over() {
+    let shard = candidates();
+    let mut scatter = Scatter::new([&*shard]);
+
+    assert_eq!(scatter.start(Instant::now(), &|h| &*h.name == "a0"), [ask(1)]);
+}
+
+#[test]
+fn suspected_host_is_asked_if_there_is_no_other() {
+    let shard = candidates();
+    let mut scatter = Scatter::new([&shard[..1]]);
+
+    assert_eq!(scatter.start(Instant::now(), &|_| true), [ask(0)]);
+}
+
+#[test]
+fn broken_link_leads_to_the_stand_in() {
+    let (shard, now) = (candidates(), Instant::now());
+    let mut scatter = Scatter::new([&*shard]);
+    scatter.start(now, &trust);
+
+    let next = scatter.failed(now, ask(0), Setback::Broken, &trust, &mut budget());
+
+    assert_eq!(next, Some(ask(1)));
+    assert_eq!(scatter.extra(), 1);
+}
+
+#[test]
+fn lack_of_capacity_leads_to_another_data_centre_once() {
+    let (shard, now) = (candidates(), Instant::now());
+    let mut scatter = Scatter::new([&*shard]);
+    scatter.start(now, &trust);
+
+    let next = scatter.failed(now, ask(0), Setback::Overloaded, &trust, &mut budget());
+    let last = scatter.failed(now, ask(2), Setback::Overloaded, &trust, &mut budget());
+
+    assert_eq!((next, last), (Some(ask(2)), None));
+    assert_eq!(scatter.extra(), 0, "nothing was dispatched");
+    assert!(scatter.is_done());
+}
+
+#[test]
+fn failure_is_replaced_within_the_budget_only() {
+    let (shard, now) = (candidates(), Instant::now());
+    let mut budget = Budget::new(0.0, 1.0);
+    let mut first = Scatter::new([&*shard]);
+    let mut second = Scatter::new([&*shard]);
+    first.start(now, &trust);
+    second.start(now, &trust);
+
+    let with = first.failed(now, ask(0), Setback::Failed, &trust, &mut budget);
+    let without = second.failed(now, ask(0), Setback::Failed, &trust, &mut budget);
+
+    assert_eq!((with, without), (Some(ask(2)), None));
+    assert!(second.is_done());
+}
+
+#[test]
+fn silent_host_keeps_its_chance() {
+    let (shard, now) = (candidates(), Instant::now());
+    let mut scatter = Scatter::new([&*shard]);
+    scatter.start(now, &trust);
+
+    let next = scatter.silent(now, &shard[0].host, &trust, &mut budget());
+    let again = scatter.silent(now, &shard[0].host, &trust, &mut budget());
+
+    assert_eq!((next, again), (vec![ask(1)], vec![]));
+    assert_eq!(scatter.answered(ask(0)), Some(vec![ask(1)]), "the other one is withdrawn");
+    assert_eq!(scatter.answered(ask(1)), None, "the second answer is too late");
+}
+
+#[test]
+fn single_replica_is_hedged_in_another_data_centre() {
+    let (shard, now) = (candidates(), Instant::now());
+    let mut scatter = Scatter::new([&*shard]);
+    scatter.start(now, &trust);
+
+    let early = scatter.hedge(now, DELAY, &trust, &mut budget());
+    let due = scatter.hedge(now + DELAY, DELAY, &trust, &mut budget());
+    let again = scatter.hedge(now + DELAY * 2, DELAY, &trust, &mut budget());
+
+    assert_eq!((early, due, again), (vec![], vec![ask(2)], vec![]));
+}
+
+#[test]
+fn group_of_several_replicas_is_left_to_its_owner() {
+    let shard = [candidate("a0", "a", 3), candidate("b0", "b", 3)];
+    let now = Instant::now();
+    let mut scatter = Scatter::new([&shard[..]]);
+    scatter.start(now, &trust);
+
+    assert!(scatter.hedge(now + DELAY, DELAY, &trust, &mut budget()).is_empty());
+}
+
+#[test]
+fn shard_without_candidates_ends_at_once() {
+    let mut scatter = Scatter::new([&[][..]]);
+
+    assert!(scatter.start(Instant::now(), &trust).is_empty());
+    assert!(scatter.is_done());
+}
--- a/crates/protocol/src/search.rs
+++ b/crates/protocol/src/search.rs
@@ -1,5 +1,7 @@
 //! Sub-queries and their outcomes.
 
+use std::sync::Arc;
+
 use sapphirerack_catalogue::{Name, Span};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +19,7 @@
     /// Deadline, in microseconds since the Unix epoch.
     pub deadline: u64,
     /// The caller's query.
-    pub query: Vec<u8>,
+    pub query: Arc<[u8]>,
 }
 
 /// Results of one shard.
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -21,7 +21,7 @@
         snapshot: id,
         route: "near".into(),
         deadline: id,
-        query,
+        query: query.into(),
     };
     Message::Request { id, body: Request::Search(query) }
 }
