Let the old version answer what the new one fails or can't take in time

Cause: during a shift a sub-query was bound to the version that its draw admits: when the new version failed, no retry or hedge could reach the old one, and a cold new version could hold back what the old one was free to answer. Cancelled losers of hedges were not counted, so that a slow version's slow requests were never seen. Ruled out: admitting the old version for every draw (the new one would not see its share's load). Change: the draw binds the first dispatch, and only for 5 ms in the queue; after that the old version is admitted and the new one is not. Cancelled requests are counted with the time until then.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -24,6 +24,12 @@
 use crate::work::Work;
 use crate::{Error, Result};
 
+/// Draw that admits the old version of a shift and never the new one.
+const LAST_DRAW: f64 = 1.0;
+
+/// Time in the queue after which a request meant for a shift's new version may go to the old one.
+const OVERFLOW_WAIT: Duration = Duration::from_millis(5);
+
 /// Events that are taken before the state machines are asked what to do.
 const BATCH: usize = 64;
 
@@ -83,6 +89,8 @@
     reply_to: ReplyTo,
     place: usize,
     draw: f64,
+    /// Time from which the draw no longer binds it to the new version.
+    overflow: Instant,
     sent: bool,
 }
 
@@ -264,7 +272,10 @@
         self.next += 1;
         let job = Job { id, snapshot: work.snapshot(), deadline, once: work.is_booking() };
         let (work, draw) = (Arc::new(work), fastrand::f64());
-        self.jobs.insert(id, Open { work, reply_to, place, draw, sent: false });
+        self.jobs.insert(
+            id,
+            Open { work, reply_to, place, draw, overflow: now + OVERFLOW_WAIT, sent: false },
+        );
         self.by_reply.insert(reply_to, id);
         entry.group.submit(now, job);
         self.dirty.insert(place);
@@ -311,8 +322,11 @@
         if let Some(failure) = ending.failure.filter(|_| outcome != Outcome::Cancelled) {
             self.parts.metrics.target_failed(failure);
         }
-        if outcome != Outcome::Cancelled {
-            let outcome = versions::Outcome { ok: outcome == Outcome::Answered, time };
+        if outcome != Outcome::Cancelled || entry.cancelled {
+            // A cancelled request took at least the time until then; to leave it out would make a
+            // slow version look fast.
+            let ok = matches!(outcome, Outcome::Answered | Outcome::Cancelled);
+            let outcome = versions::Outcome { ok, time };
             let work = &entry.work;
             self.parts.versions.record(work.service(), work.route(), &entry.version, outcome);
         }
@@ -339,7 +353,10 @@
         let mut admits = |job: u64, target: &Target| {
             jobs.get(&job).is_some_and(|open| {
                 let work = &open.work;
-                versions.admits(work.service(), work.route(), &target.version, open.draw)
+                // What was sent once, or has waited long, may go to the old version.
+                let is_bound = !open.sent && now < open.overflow;
+                let draw = if is_bound { open.draw } else { LAST_DRAW };
+                versions.admits(work.service(), work.route(), &target.version, draw)
             })
         };
         let actions = entry.group.step(now, &mut admits);
