--- a/crates/host/src/move_front.rs
+++ b/crates/host/src/move_front.rs
@@ -51,6 +51,7 @@
     id: &'a str,
     owner: &'a str,
     goal: &'a Goal,
+    revision: u64,
     state: Progress,
     /// Whether the state is written down; a move that is taken back without the store is not yet.
     is_final: bool,
@@ -114,6 +115,7 @@
             id: &record.id,
             owner: &record.owner,
             goal: &record.goal,
+            revision: record.revision,
             state,
             is_final: !record.is_open(),
             stage,
@@ -146,6 +148,7 @@
         let plan = Plan { id: order.id, owner, goal: order.goal, within: order.within };
         let edit = |catalogue: &Catalogue| {
             credentials.check(catalogue)?;
+            check_owner(catalogue, &plan).map_err(|reason| credentials.forbidden(reason))?;
             self.edit(catalogue, &plan)
         };
         match self.changes.submit(&change, &credentials, edit) {
@@ -159,7 +162,6 @@
         if catalogue.find_move(&plan.id).is_some_and(|m| m.goal == plan.goal) {
             return Ok(catalogue.clone());
         }
-        check_owner(catalogue, plan)?;
         moves::start(catalogue, plan.clone(), self.routing.now()).map_err(|e| match e {
             StartError::Conflict(_) => Rejection::Conflict(e.to_string()),
             _ => Rejection::Invalid(e.to_string()),
@@ -168,7 +170,7 @@
 }
 
 /// Services and targets are moved by their owner alone, data centres by any member.
-fn check_owner(catalogue: &Catalogue, plan: &Plan) -> Result<(), Rejection> {
+fn check_owner(catalogue: &Catalogue, plan: &Plan) -> Result<(), String> {
     let owner = match &plan.goal {
         Goal::Drain { .. } | Goal::Restore { .. } => None,
         Goal::Retire { target } => {
@@ -181,7 +183,7 @@
     };
     match owner {
         Some(owner) if *owner != plan.owner => {
-            Err(Rejection::Invalid(format!("{:?} belongs to {owner:?}", plan.goal.subject())))
+            Err(format!("{:?} belongs to {owner:?}", plan.goal.subject()))
         }
         _ => Ok(()),
     }
