Cut a data centre from the store by silence; no relays between hosts

Cause: hosts now learn each other's addresses from datagrams, so relays named by the host list are passed by and `between` cut nothing; the deployment test of it still passed, as it looked only at coverage. Ruled out: telling data centres apart at a relay by the sender's address, as links go out from 127.0.0.1 whatever the host listens on. A cut between data centres needs an advertised address in the host's settings: left to the lead. Conclusion: cuts between data centres are not shown by the lab.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,7 @@
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
 //! - `process`: entry hosts as processes
-//! - `network`: relays between data centres
+//! - `network`: ways from data centres to the store
 //! - `load`: files that describe a load
 //! - `experiment`: runs a load file
 //! - `driver`: open-loop arrivals
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -51,7 +51,7 @@
     pub behave: Behave,
     /// Merged into the settings of every host.
     pub settings: Value,
-    /// Gives every data centre relays to the others and a door of its own to the store.
+    /// Gives every data centre a way of its own to the store, which can be cut.
     pub network: bool,
     /// Starts a stand-in for each target; else the catalogue stays as it is.
     pub stand_ins: bool,
@@ -118,7 +118,7 @@
         self
     }
 
-    /// Gives every data centre relays to the others and a door of its own to the store.
+    /// Gives every data centre a way of its own to the store, which can be cut.
     pub fn with_network(mut self) -> Self {
         self.network = true;
         self
