--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
+//! - `history`: checks histories of concurrent runs
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
 //! - `process`: entry hosts as processes
@@ -24,6 +25,7 @@
 //! - `slopes`: what grows with what
 //! - `slope_search`, `slope_control`, `slope_bookings`: what is measured for it
 //! - `fake_peers`: many peers of one host
+//! - `verdict`: the rule that judges new versions, beside fixed thresholds
 //! - `demo`: the demonstration of the README
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -37,6 +39,7 @@
 pub mod experiment;
 pub mod fake_peers;
 pub mod fleet;
+pub mod history;
 pub mod load;
 mod network;
 mod plan;
@@ -51,3 +54,4 @@
 mod slots;
 pub mod store;
 pub mod target;
+pub mod verdict;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -8,10 +8,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::Name;
+use sapphirerack_catalogue::{Name, key_hash};
 use sapphirerack_platform::{HostEntry, HostState};
 use serde_json::{Value, json};
 
+/// Key of every member in the lab.
+pub const MEMBER_KEY: &str = "lab member key";
+
 /// Time within which a host must answer.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_PAUSE: Duration = Duration::from_millis(20);
@@ -56,6 +59,7 @@
             "name": name, "data_centre": data_centre,
             "listen": { "callers": callers, "operators": operators, "hosts": hosts },
             "store": { "address": store },
+            "founding": key_hash(MEMBER_KEY),
             "log": "warn",
         });
         merge(&mut settings, extra);
@@ -149,6 +153,21 @@
         }
     }
 
+    /// Waits until the host counts `members` live hosts.
+    pub fn await_members(&self, members: usize) {
+        let limit = Instant::now() + READY_LIMIT;
+        let url = format!("http://{}/status", self.operators);
+        let seen = || {
+            let response = minreq::get(&url).with_timeout(1).send().ok()?;
+            let status: Value = serde_json::from_slice(response.as_bytes()).ok()?;
+            status["live_hosts"].as_u64()
+        };
+        while seen() != Some(members as u64) {
+            assert!(Instant::now() < limit, "{} does not see {members} hosts", self.name);
+            thread::sleep(READY_PAUSE);
+        }
+    }
+
     fn status(&self, field: &str) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
         let line = text.lines().find_map(|l| l.strip_prefix(field)).unwrap();
