Sign the changes of the slopes with the member's key

Cause: changes of the catalogue need a member and its key since the merge; the experiment was refused with 401. Change: it sends both.

--- a/crates/lab/src/slope_control.rs
+++ b/crates/lab/src/slope_control.rs
@@ -8,7 +8,7 @@
 use sapphirerack_catalogue::{Goal, Move, MoveState, Name, Service, Stage, Undecided, WHOLE};
 
 use crate::fake_peers::FakePeers;
-use crate::fleet::{Fleet, HostProcess, Plan};
+use crate::fleet::{Fleet, HostProcess, MEMBER_KEY, Plan};
 use crate::slopes::{Series, Slope};
 
 const CATALOGUE_SIZES: [usize; 4] = [300, 1_000, 2_000, 4_000];
@@ -273,6 +273,8 @@
     let host = &fleet.hosts[i % fleet.hosts.len()];
     let response = minreq::put(format!("http://{}/catalogue", host.operators))
         .with_header("x-change-id", format!("slope-{i}"))
+        .with_header("x-member", &*fleet.catalogue.members[0].name)
+        .with_header("authorization", format!("Bearer {MEMBER_KEY}"))
         .with_body(serde_json::to_string(&fleet.catalogue).unwrap())
         .with_timeout(10)
         .send()
