--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -3,25 +3,26 @@
 //! The query is pinned to a snapshot before it scatters. Only results of that snapshot enter the
 //! answer, and its coverage is the sum of the spans that they name.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::{Map, Name, Service, Shard};
-use sapphirerack_policy::{Clock, Coverage, Held, SnapshotId, choose, owners};
-use sapphirerack_protocol::{Part, Reply, Request, SubQuery, SubReply};
+use sapphirerack_catalogue::{Map, Name, Service};
+use sapphirerack_policy::{Ask, Candidate, Clock, Coverage, SnapshotId, choose};
+use sapphirerack_protocol::{Part, Reply, Request, SubQuery};
 
-use crate::calls::{Answer, Call, Calls};
-use crate::config::View;
+use crate::calls::{Call, Calls};
+use crate::collect::Collector;
 use crate::metrics::{Labels, Metrics};
 use crate::peers::Peers;
+use crate::routes::{Route, Routes};
 use crate::routing::Routing;
+use crate::settings::QuerySettings;
+use crate::snapshots::Snapshots;
 
-/// Age above which what is known of a shard's snapshots is asked again.
-const HELD_AGE: Duration = Duration::from_secs(1);
-
-/// Time that asking for snapshots may take at most.
-const DESCRIBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time that asking for snapshots may take at most, as a part of a query's time and in all.
+const DESCRIBE_PART: u32 = 5;
+const DESCRIBE_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Pause before the owners are asked again when none knew a snapshot.
 const DESCRIBE_PAUSE: Duration = Duration::from_millis(10);
@@ -31,7 +32,7 @@
     pub request: Name,
     pub service: Name,
     pub route: Name,
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
     pub timeout: Option<Duration>,
 }
 
@@ -41,6 +42,10 @@
     pub coverage: Coverage,
     pub cut: bool,
     pub parts: Vec<(Name, Part)>,
+    /// Requests to owners.
+    pub sent: u64,
+    /// Requests that may have reached a target beyond the first for a shard.
+    pub extra: u64,
 }
 
 /// Why a query was not run.
@@ -62,11 +67,6 @@
     }
 }
 
-struct Known {
-    at: Instant,
-    held: Vec<SnapshotId>,
-}
-
 /// Runs queries.
 pub(crate) struct Gather {
     clock: Arc<dyn Clock>,
@@ -74,7 +74,9 @@
     peers: Arc<Peers>,
     calls: Arc<Calls>,
     metrics: Arc<Metrics>,
-    known: Mutex<Map<(Name, Name), Known>>,
+    routes: Routes,
+    snapshots: Arc<Snapshots>,
+    collector: Collector,
 }
 
 impl Gather {
@@ -84,8 +86,12 @@
         peers: Arc<Peers>,
         calls: Arc<Calls>,
         metrics: Arc<Metrics>,
+        settings: QuerySettings,
     ) -> Self {
-        Self { clock, routing, peers, calls, metrics, known: Mutex::default() }
+        let routes = Routes::default();
+        let snapshots = Arc::new(Snapshots::new(clock.clone()));
+        let collector = Collector::new(clock.clone(), calls.clone(), snapshots.clone(), settings);
+        Self { clock, routing, peers, calls, metrics, routes, snapshots, collector }
     }
 
     /// Runs a query until it is complete or its deadline passes.
@@ -99,28 +105,41 @@
         let limit = service.limits.deadline;
         let timeout = query.timeout.map_or(limit, |t| t.min(limit));
         let deadline = start + timeout;
-        let snapshot = self.pin(&view, service, deadline)?;
-        let gathered = self.scatter(&view, service, query, snapshot, deadline);
+        let own = &self.peers.own().data_centre;
+        let route = self.routes.get(&view, &self.peers.live(), service, own);
+        let snapshot = self.pin(service, &route, deadline)?;
+        let unix = self.clock.unix() + deadline.saturating_duration_since(self.clock.now());
+        let sub_query = SubQuery {
+            service: service.name.clone(),
+            shard: Name::default(),
+            snapshot,
+            route: query.route.clone(),
+            deadline: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX),
+            query: query.body.clone(),
+        };
+        let gathered = self.collector.run(service, &route, sub_query, deadline);
         let labels = Labels::new(&service.owner, &service.class);
         let seconds = self.clock.now().duration_since(start).as_secs_f64();
         self.metrics.answered(&labels, seconds, gathered.coverage.fraction());
+        self.metrics.sub_queries(&labels, gathered.sent, gathered.extra);
         Ok(gathered)
     }
 
     /// Chooses the snapshot; asks the owners of shards of which too little is known.
     fn pin(
         &self,
-        view: &View,
         service: &Service,
+        route: &Route,
         deadline: Instant,
     ) -> Result<SnapshotId, Refusal> {
         loop {
-            let stale: Vec<&Shard> =
-                service.shards.iter().filter(|s| self.is_stale(service, s)).collect();
+            let shards = service.shards.iter().enumerate();
+            let stale = shards.filter(|(_, s)| self.snapshots.is_stale(service, s));
+            let stale: Vec<usize> = stale.map(|(i, _)| i).collect();
             if !stale.is_empty() {
-                self.describe(view, service, &stale, deadline);
+                self.describe(service, route, &stale, deadline);
             }
-            if let Some(snapshot) = choose(&self.held(service)) {
+            if let Some(snapshot) = choose(&self.snapshots.held(service)) {
                 return Ok(snapshot);
             }
             if self.clock.now() >= deadline {
@@ -130,130 +149,47 @@
         }
     }
 
-    fn held(&self, service: &Service) -> Vec<Held> {
-        let known = self.known();
-        let held = service.shards.iter().map(|shard| {
-            let key = (service.name.clone(), shard.name.clone());
-            let snapshots = known.get(&key).map(|k| k.held.clone()).unwrap_or_default();
-            Held { span: Some(shard.span), snapshots }
-        });
-        held.collect()
-    }
-
-    fn is_stale(&self, service: &Service, shard: &Shard) -> bool {
-        let key = (service.name.clone(), shard.name.clone());
+    /// Asks one owner in each data centre which snapshots the replicas of shards hold.
+    fn describe(&self, service: &Service, route: &Route, shards: &[usize], deadline: Instant) {
         let now = self.clock.now();
-        self.known().get(&key).is_none_or(|k| now.duration_since(k.at) > HELD_AGE)
-    }
-
-    fn describe(&self, view: &View, service: &Service, shards: &[&Shard], deadline: Instant) {
         let (sender, answers) = flume::unbounded();
-        let calls = shards.iter().enumerate().filter_map(|(index, shard)| {
-            let request =
-                Request::Describe { service: service.name.clone(), shard: shard.name.clone() };
-            self.call(view, service, shard, index, request)
-        });
-        let ids = self.calls.send(calls.collect(), &sender);
+        let asks: Vec<Ask> = shards.iter().flat_map(|i| self.owners(*i, &route[*i])).collect();
+        let call = |ask: &Ask| Call {
+            index: ask.shard,
+            peer: route[ask.shard][ask.candidate].host.address,
+            request: Request::Describe {
+                service: service.name.clone(),
+                shard: service.shards[ask.shard].name.clone(),
+            },
+        };
+        let ids = self.calls.send(asks.iter().map(call).collect(), &sender);
         drop(sender);
-        let limit = deadline.min(self.clock.now() + DESCRIBE_TIMEOUT);
+        let mut open: Map<u64, Ask> = ids.iter().copied().zip(asks).collect();
+        let timeout = deadline.saturating_duration_since(now) / DESCRIBE_PART;
+        let limit = now + timeout.min(DESCRIBE_TIMEOUT);
         while let Ok(answer) = answers.recv_deadline(limit) {
+            let Some(ask) = open.remove(&answer.id) else { continue };
             if let Some(Reply::Described(held)) = answer.reply {
-                self.learn(service, &shards[answer.index].name, held);
+                let centre = &route[ask.shard][ask.candidate].host.data_centre;
+                let shard = &service.shards[ask.shard].name;
+                self.snapshots.learn(&service.name, shard, centre, held);
             }
         }
         self.calls.forget(&ids);
     }
 
-    fn learn(&self, service: &Service, shard: &Name, held: Vec<SnapshotId>) {
-        if held.is_empty() {
-            return;
-        }
-        let known = Known { at: self.clock.now(), held };
-        self.known().insert((service.name.clone(), shard.clone()), known);
-    }
-
-    fn scatter(
-        &self,
-        view: &View,
-        service: &Service,
-        query: &Query,
-        snapshot: SnapshotId,
-        deadline: Instant,
-    ) -> Gathered {
-        let left = deadline.saturating_duration_since(self.clock.now());
-        let unix = self.clock.unix() + left;
-        let (sender, answers) = flume::unbounded();
-        let calls = service.shards.iter().enumerate().filter_map(|(index, shard)| {
-            let request = Request::Search(SubQuery {
-                service: service.name.clone(),
-                shard: shard.name.clone(),
-                snapshot,
-                route: query.route.clone(),
-                deadline: u64::try_from(unix.as_micros()).unwrap_or(u64::MAX),
-                query: query.body.clone(),
-            });
-            self.call(view, service, shard, index, request)
-        });
-        let ids = self.calls.send(calls.collect(), &sender);
-        drop(sender);
-        let gathered = self.collect(service, snapshot, &answers, deadline, ids.len());
-        self.calls.forget(&ids);
-        gathered
-    }
-
-    fn collect(
-        &self,
-        service: &Service,
-        snapshot: SnapshotId,
-        answers: &flume::Receiver<Answer>,
-        deadline: Instant,
-        mut open: usize,
-    ) -> Gathered {
-        let sent = open;
-        let mut extra = 0;
-        let mut coverage = Coverage::default();
-        let mut parts = Vec::with_capacity(open);
-        while open > 0 {
-            let Ok(answer) = answers.recv_deadline(deadline) else {
-                break;
-            };
-            open -= 1;
-            let Some(Reply::Found(reply)) = answer.reply else {
-                continue;
-            };
-            let shard = &service.shards[answer.index].name;
-            extra += u64::from(reply.extra);
-            self.learn(service, shard, reply.held.clone());
-            if let Some(part) = accept(reply, snapshot, &mut coverage) {
-                parts.push((shard.clone(), part));
+    /// The first candidate of each data centre, those that are suspected left out.
+    fn owners(&self, shard: usize, candidates: &[Candidate]) -> Vec<Ask> {
+        let mut centres: Vec<&Name> = Vec::new();
+        let mut asks = Vec::new();
+        for (candidate, entry) in candidates.iter().enumerate() {
+            let host = &entry.host;
+            let is_suspect = self.calls.contacts().is_suspect(host.address);
+            if !is_suspect && !centres.contains(&&host.data_centre) {
+                centres.push(&host.data_centre);
+                asks.push(Ask { shard, candidate });
             }
         }
-        let labels = Labels::new(&service.owner, &service.class);
-        self.metrics.sub_queries(&labels, sent as u64, extra);
-        Gathered { snapshot, coverage, cut: open > 0, parts }
+        asks
     }
-
-    fn call(
-        &self,
-        view: &View,
-        service: &Service,
-        shard: &Shard,
-        index: usize,
-        request: Request,
-    ) -> Option<Call> {
-        let own = &self.peers.own().data_centre;
-        let hosts = owners(&view.catalogue, service, shard, own, &self.peers.live());
-        let peer = hosts.first()?.address;
-        Some(Call { index, peer, request })
-    }
-
-    fn known(&self) -> std::sync::MutexGuard<'_, Map<(Name, Name), Known>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Takes a part into the answer if it is of the snapshot and overlaps no other.
-fn accept(reply: SubReply, snapshot: SnapshotId, coverage: &mut Coverage) -> Option<Part> {
-    let part = reply.outcome.ok()?;
-    (part.snapshot == snapshot && coverage.add(part.span)).then_some(part)
 }
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -29,7 +29,7 @@
 use crate::status::Reporter;
 use crate::steps::Steps;
 use crate::versions::Versions;
-use crate::{Result, Settings, config, fetch, inbox, links, peers, shutdown};
+use crate::{Result, Settings, config, fetch, inbox, links, owner, peers, shutdown};
 
 /// Fetches that may wait; datagrams name what is missing again and again.
 const FETCH_QUEUE: usize = 16;
@@ -94,14 +94,21 @@
 
     let (links, poller) = links::bind(settings.listen.hosts)?;
     let (inbound, requests) = flume::unbounded();
-    let calls = Calls::new(settings.listen.hosts, links, inbound.clone());
+    let calls = Calls::new(settings.listen.hosts, links, inbound.clone(), clock.clone());
     poller.spawn(inbox::handler(calls.clone(), inbound))?;
     let versions = Arc::new(Versions::default());
-    let centre = settings.data_centre.clone();
     let routing = Routing::new(config.clone(), clock.clone());
-    let owner = Owner::new(clock.clone(), routing.clone(), calls.clone(), versions.clone(), centre);
+    let parts = owner::Parts {
+        clock: clock.clone(),
+        routing: routing.clone(),
+        calls: calls.clone(),
+        versions: versions.clone(),
+        metrics: metrics.clone(),
+        data_centre: settings.data_centre.clone(),
+        tuning: settings.queries.tuning(),
+    };
     let (sender, owned) = flume::unbounded();
-    owner.spawn(owned)?;
+    Owner::new(parts, sender.clone()).spawn(owned)?;
     let leaving = Arc::new(Leaving::default());
     let open = Arc::new(AtomicUsize::new(0));
     let bookings = Bookings {
@@ -169,7 +176,9 @@
         founding,
     };
     let operators = operators.serve(settings.listen.operators)?;
-    let gather = Gather::new(clock, routing, peers.clone(), calls.clone(), metrics.clone());
+    let queries = settings.queries.clone();
+    let gather =
+        Gather::new(clock, routing, peers.clone(), calls.clone(), metrics.clone(), queries);
     let entry = Entry::new(gather, metrics, settings.limits.clone(), bookings, leaving.clone());
     let callers = entry.serve(settings.listen.callers)?;
     log::info!("step=serve host={} data_centre={}", settings.name, settings.data_centre);
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
-use serde::Deserialize;
+use sapphirerack_policy::Tuning;
+use serde::{Deserialize, Serialize};
 
 use crate::{Error, Result};
 
@@ -18,7 +19,7 @@
 const BOOKING_SEGMENT: usize = 768 << 10;
 
 /// Settings of one entry host.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Unique name of the host.
@@ -36,6 +37,9 @@
     /// no use once the catalogue names a member. Without it an empty catalogue can't be changed.
     #[serde(default)]
     pub founding: Option<Name>,
+    /// How queries are run.
+    #[serde(default)]
+    pub queries: QuerySettings,
     /// Bookings.
     #[serde(default)]
     pub bookings: BookingSettings,
@@ -51,7 +55,7 @@
 }
 
 /// Addresses that a host listens on.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' HTTP.
@@ -63,7 +67,7 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// HTTP address.
@@ -74,7 +78,7 @@
 }
 
 /// Limits on callers' requests.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestLimits {
     /// Requests in hand at the same time.
@@ -96,7 +100,7 @@
 
 /// Requests that run at most once. `slots`, `segment` and `retention` must be the same on all
 /// hosts.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BookingSettings {
     /// Time that a booking may take if its caller does not say.
@@ -138,7 +142,7 @@
 }
 
 /// Planned stops.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
     /// Time for which the host goes on after it has announced that it leaves.
@@ -156,7 +160,7 @@
 }
 
 /// Datagrams between hosts; they use the port of `listen.hosts`.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GossipSettings {
     /// Time between two rounds.
@@ -177,6 +181,44 @@
     }
 }
 
+/// How queries are run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuerySettings {
+    /// Requests that may wait at a target beyond its slots.
+    pub waiting: u32,
+    /// Hedges and retries, as a share of the sub-queries, 0 to 1.
+    pub extra: f64,
+    /// Hedges and retries that are saved up at most, for each group of replicas.
+    pub burst: u32,
+    /// Quantile of a service's own latency after which a sub-query is hedged, 0 to 1.
+    pub quantile: f64,
+}
+
+impl Default for QuerySettings {
+    fn default() -> Self {
+        let Tuning { waiting, extra, quantile, .. } = Tuning::default();
+        Self { waiting, extra, burst: 8, quantile }
+    }
+}
+
+impl QuerySettings {
+    /// The settings as the state machines take them.
+    pub(crate) fn tuning(&self) -> Tuning {
+        let Self { waiting, extra, burst, quantile } = *self;
+        Tuning { waiting, extra, burst: burst.into(), quantile }
+    }
+
+    fn check(&self) -> Result<()> {
+        for (field, value) in [("extra", self.extra), ("quantile", self.quantile)] {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(Error::rule(format!("queries.{field}: {value}, expected 0 to 1")));
+            }
+        }
+        Ok(())
+    }
+}
+
 fn default_log() -> Name {
     "info".into()
 }
@@ -208,6 +250,7 @@
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    settings.queries.check()?;
     if limits.timeout.is_zero() {
         return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
     }
