Soak bookings under kills, freezes, cuts and store outages

Cause: single faults have tests; what must always hold has to hold under any of them together.

Change: seeded schedules of faults over real processes, whose history the checker judges; `lab soak` runs them longer.

--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -72,6 +72,8 @@
             workers: self.limits.requests,
             queue: self.limits.requests,
             body: self.limits.body,
+            // An earlier call with the same key may have run.
+            not_run: |path| !path.starts_with(BOOK_PREFIX),
             ..Config::new(address)
         };
         sapphirerack_http::serve(config, move |request| self.answer(&request)).map_err(Error::http)
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -16,6 +16,8 @@
     pub connections: usize,
     /// Largest body, in bytes.
     pub body: usize,
+    /// Whether a request to the path that the server itself refuses counts as not run.
+    pub not_run: fn(&str) -> bool,
     /// Time that a sender may take for the head of a request, and again for its body.
     pub patience: Duration,
 }
@@ -29,6 +31,7 @@
             queue: 64,
             connections: 1024,
             body: 1 << 20,
+            not_run: |_| true,
             patience: Duration::from_secs(10),
         }
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -163,6 +163,17 @@
                 }
             }
         }
+        // Connections that the system has set up already would be reset with the listener.
+        while let Some((stream, _)) = pending(&listener).await {
+            if let Ok(place) = places.clone().try_acquire_owned() {
+                let connection = graceful.watch(self.clone().connection(stream));
+                tokio::spawn(async move {
+                    // Errors of the connection concern its sender alone.
+                    let _ = connection.await;
+                    drop(place);
+                });
+            }
+        }
         drop(listener);
         let limit = stopping.borrow().unwrap_or_default();
         tokio::time::timeout(limit, graceful.shutdown()).await.is_ok()
@@ -198,11 +209,12 @@
     ) -> std::result::Result<Request, Response> {
         let received = Instant::now();
         let (head, body) = request.into_parts();
+        let not_run = (self.config.not_run)(head.uri.path());
         let body = Limited::new(body, self.config.body).collect();
         let body = match tokio::time::timeout(self.config.patience, body).await {
             Ok(Ok(body)) => body.to_bytes().to_vec(),
-            Ok(Err(_)) => return Err(Response::refuse(413, "body too large or cut off", true)),
-            Err(_) => return Err(Response::refuse(408, "body came too slowly", true)),
+            Ok(Err(_)) => return Err(Response::refuse(413, "body too large or cut off", not_run)),
+            Err(_) => return Err(Response::refuse(408, "body came too slowly", not_run)),
         };
         Ok(Request {
             method: head.method,
@@ -216,14 +228,24 @@
 
     async fn hand_over(&self, request: Request) -> Response {
         let (reply, response) = flume::bounded(1);
+        let not_run = (self.config.not_run)(&request.path);
         if self.jobs.try_send(Job { request, reply }).is_err() {
-            return Response::refuse(503, "too many requests in hand", true);
+            return Response::refuse(503, "too many requests in hand", not_run);
         }
         let lost = |_| Response::refuse(500, "internal error", false);
         response.recv_async().await.unwrap_or_else(lost)
     }
 }
 
+/// A connection that can be accepted without waiting.
+async fn pending(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
+    std::future::poll_fn(|cx| match listener.poll_accept(cx) {
+        std::task::Poll::Ready(accepted) => std::task::Poll::Ready(accepted.ok()),
+        std::task::Poll::Pending => std::task::Poll::Ready(None),
+    })
+    .await
+}
+
 /// Result of `work`, or `None` if `stop` is done first.
 async fn cancelled<T>(work: impl Future<Output = T>, stop: impl Future) -> Option<T> {
     let mut work = std::pin::pin!(work);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -13,7 +13,7 @@
 pub use crate::process::HostProcess;
 use crate::process::scratch;
 use crate::relay::RelayFault;
-use crate::store::StoreServer;
+use crate::store::{Door, StoreServer};
 use crate::target::TargetServer;
 
 /// Loopback address with any free port.
@@ -138,6 +138,13 @@
         self.network.as_ref().expect("a plan with a network").passed()
     }
 
+    /// The store as a data centre sees it.
+    ///
+    /// The plan must have a network.
+    pub fn store_door(&self, data_centre: &str) -> &Door {
+        self.network.as_ref().expect("a plan with a network").door(data_centre).unwrap()
+    }
+
     fn entries(&self) -> Vec<HostEntry> {
         self.hosts.iter().map(HostProcess::entry).collect()
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! # Modules
 //!
 //! - `server`: HTTP server of the stand-ins
+//! - `soak`: a run of real processes under faults
 //! - `store`: the platform's store and host list
 //! - `target`: targets
 //! - `behaviour`: what a target is like, and its faults
@@ -50,5 +51,7 @@
 pub mod slope_search;
 pub mod slopes;
 mod slots;
+pub mod soak;
+mod soak_calls;
 pub mod store;
 pub mod target;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,17 +5,20 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use getopts::{Matches, Options};
 use sapphirerack_lab::load::{LoadError, LoadFile};
 use sapphirerack_lab::slopes::Slope;
+use sapphirerack_lab::soak::{self, Soak};
 use sapphirerack_lab::{demo, experiment, load, report, slope_control, slope_search, slopes};
 use serde::Serialize;
 
 const USAGE: &str = "usage: lab demo
        lab load [--json FILE] LOAD_FILE
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
-       lab slopes [--json FILE] [--only EXPERIMENT]";
+       lab slopes [--json FILE] [--only EXPERIMENT]
+       lab soak [--seed N] [--minutes M]";
 
 /// The load file of `lab bench`.
 const BENCH: &str = include_str!("../loads/bench.json");
@@ -29,6 +32,8 @@
     File(String, std::io::Error),
     #[error("{0}: {1}")]
     Load(String, LoadError),
+    #[error("the history is not allowed")]
+    Violations,
 }
 
 fn main() -> ExitCode {
@@ -61,6 +66,7 @@
         }
         "bench" => measure(&bench(&matches)?, &matches),
         "slopes" => slopes(&matches),
+        "soak" => run_soak(&matches),
         other => Err(Error::Usage(format!("unknown command {other:?}"))),
     }
 }
@@ -71,6 +77,8 @@
     options.optopt("", "repeats", "runs of each combination", "N");
     options.optopt("", "seconds", "seconds that are measured", "N");
     options.optopt("", "deployment", "zeugenwerk, castlegate or group", "NAME");
+    options.optopt("", "seed", "seed of the schedule", "N");
+    options.optopt("", "minutes", "minutes for which faults come", "M");
     options.optmulti("", "only", "only this variant; may be repeated", "VARIANT");
     options
 }
@@ -141,6 +149,20 @@
     Ok(())
 }
 
+fn run_soak(matches: &Matches) -> Result<(), Error> {
+    let number = |name: &str, default: u64| -> Result<u64, Error> {
+        let given = matches.opt_get(name).map_err(|e| Error::Usage(format!("--{name}: {e}")))?;
+        Ok(given.unwrap_or(default))
+    };
+    let duration = Duration::from_secs(60 * number("minutes", 1)?);
+    let summary = soak::run(&program(), &Soak { seed: number("seed", 1)?, duration });
+    println!("{}", serde_json::to_string(&summary).unwrap());
+    match summary.violations.is_empty() {
+        true => Ok(()),
+        false => Err(Error::Violations),
+    }
+}
+
 /// Where JSON lines go.
 struct Lines(Box<dyn Write>);
 
