--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -1,100 +1,107 @@
 //! The catalogue in force.
 //!
-//! A host adopts only a higher version than the one it has, wherever it comes from.
+//! A host adopts only a higher version than the one it has, wherever it comes from: an own change,
+//! another host, or the store. A host that accepted a change tells others at once, and these tell
+//! others in turn. A few hosts of a data centre watch the store besides, for changes whose host
+//! ended before it told anyone.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use sapphirerack_catalogue::{Catalogue, Name};
-use sapphirerack_platform::{Store, Value};
-use serde::{Deserialize, Serialize};
+use sapphirerack_catalogue::Name;
+use sapphirerack_platform::Store;
+use sapphirerack_protocol::{Reply, Request};
+use sapphirerack_repository::{HEAD_KEY, Head, InForce, Rejection, Repository};
 
-use crate::{Error, Result};
+pub(crate) use sapphirerack_repository::View;
 
-/// Key of the catalogue in the store.
-pub(crate) const HEAD_KEY: &str = "catalogue/head";
+use crate::fetch::Fetcher;
+use crate::peers::Peers;
+use crate::{Error, Result};
 
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time that one watch waits; bounds what a lost event delays.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// The catalogue as the store holds it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct Head {
-    /// Rises with every change.
-    pub version: u64,
-    /// Unique id of the change that wrote it.
-    pub change: Name,
-    /// The catalogue.
-    pub catalogue: Catalogue,
-}
+/// Pause after a failed call, and between two checks whether this host is to watch.
+const PAUSE: Duration = Duration::from_millis(500);
 
-/// A catalogue with its version; version 0 stands for none.
-#[derive(Debug, Default)]
-pub(crate) struct View {
-    pub version: u64,
-    pub catalogue: Catalogue,
-}
+/// Hosts of a data centre that watch the store.
+const WATCHERS: usize = 2;
+const WATCHERS_KEY: &[u8] = b"watch";
 
 /// The view in force on this host.
-#[derive(Debug, Default)]
-pub(crate) struct Config {
-    view: RwLock<Arc<View>>,
-}
-
-impl Config {
-    /// View in force.
-    pub(crate) fn view(&self) -> Arc<View> {
-        self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
-    }
+pub(crate) type Config = InForce;
 
-    /// Puts a view in force if its version is higher; tells whether it did.
-    pub(crate) fn adopt(&self, view: View) -> bool {
-        let mut current = self.view.write().unwrap_or_else(PoisonError::into_inner);
-        if view.version <= current.version {
-            return false;
-        }
-        log::info!("step=adopt version={}", view.version);
-        *current = Arc::new(view);
-        true
+/// Fetches the configuration of the host at `peer` if it is higher.
+pub(crate) fn fetch(config: &Config, fetcher: &Fetcher, peer: SocketAddr) {
+    let above = config.version();
+    let Some(Reply::Head(Some(head))) = fetcher.ask(peer, Request::Head { above }) else {
+        return;
+    };
+    let parts = |keys: &[Name]| match fetcher.ask(peer, Request::Parts(keys.to_vec())) {
+        Some(Reply::Parts(parts)) => parts,
+        _ => Vec::new(),
+    };
+    let adopted = config.take(&head, parts);
+    if let Err(e) = adopted {
+        log::info!("step=fetch peer={peer} error=\"{e}\"");
     }
 }
 
-/// Reads the head from a value of the store.
-pub(crate) fn parse(value: &Value) -> Option<Head> {
-    let head: Head = serde_json::from_slice(&value.bytes).ok()?;
-    head.catalogue.check().ok()?;
-    Some(head)
-}
-
-/// Follows the store on a thread of its own.
-pub(crate) fn follow(config: Arc<Config>, store: Store) -> Result<()> {
+/// Follows the store on a thread of its own: until there is a configuration, and then as long as
+/// this host is among the watchers of its data centre.
+pub(crate) fn follow(
+    config: Arc<Config>,
+    peers: Arc<Peers>,
+    store: Store,
+    repository: Arc<Repository>,
+) -> Result<()> {
     let run = move || {
         let mut after = 0;
         loop {
-            match store.watch(HEAD_KEY, after, WATCH_WAIT) {
-                Ok(Some(value)) => {
-                    after = value.version;
-                    adopt_value(&config, &value);
-                }
-                Ok(None) => {}
-                Err(e) => {
-                    log::warn!("step=watch error={e:?}");
-                    thread::sleep(RETRY_PAUSE);
+            let missing = config.version() == 0;
+            if missing || peers.is_among(WATCHERS_KEY, WATCHERS) {
+                match store.watch(HEAD_KEY, after, WATCH_WAIT) {
+                    Ok(Some(value)) => {
+                        let adopted = adopt_stored(&config, &repository, &value.bytes);
+                        match adopted {
+                            Ok(_) => after = value.version,
+                            Err(e) => {
+                                log::warn!("step=adopt error=\"{e}\"");
+                                pause();
+                            }
+                        }
+                        continue;
+                    }
+                    Ok(None) if !missing => continue,
+                    Ok(None) => {}
+                    Err(e) => log::warn!("step=watch error={e:?}"),
                 }
             }
+            pause();
         }
     };
     let builder = thread::Builder::new().name("config".into());
     builder.spawn(run).map(drop).map_err(|e| Error::io("start thread", "config", e))
 }
 
-fn adopt_value(config: &Config, value: &Value) {
-    match parse(value) {
-        Some(head) => {
-            config.adopt(View { version: head.version, catalogue: head.catalogue });
-        }
-        None => log::error!("step=adopt error=\"malformed head\" store_version={}", value.version),
+/// Waits for the pause, give or take a half, so that hosts don't call all at once.
+fn pause() {
+    thread::sleep(PAUSE.mul_f64(0.5 + fastrand::f64()));
+}
+
+fn adopt_stored(
+    config: &Config,
+    repository: &Repository,
+    bytes: &[u8],
+) -> std::result::Result<bool, Rejection> {
+    let head = Head::parse(bytes)?;
+    if head.version <= config.version() {
+        return Ok(false);
     }
+    let view = config.view();
+    let snapshot = repository.load(&head.keys, |key| view.part(key))?;
+    Ok(config.adopt(View::new(head.version, &snapshot)))
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -31,8 +31,10 @@
 //! - `changes`: changes of the catalogue through the store
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
+//! - `fetch`: what other hosts have and this one misses
 //! - `gossip`: datagrams between hosts and the topics they carry
 //! - `operators`: operators' HTTP
+//! - `status`: what operators are told of the hosts
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
 
@@ -44,6 +46,7 @@
 mod entry;
 mod errand;
 mod error;
+mod fetch;
 mod gather;
 mod gossip;
 mod inbox;
@@ -61,6 +64,7 @@
 mod serve;
 mod settings;
 mod shutdown;
+mod status;
 mod steps;
 mod store_log;
 mod versions;
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -88,7 +88,7 @@
     fn project(&self, view: &Arc<View>, now: SystemTime) -> Arc<View> {
         let verdicts = self.lock();
         let projected = match project(&view.catalogue, now, &verdicts) {
-            Some(catalogue) => Arc::new(View { version: view.version, catalogue }),
+            Some(catalogue) => Arc::new(view.with(catalogue)),
             None => view.clone(),
         };
         let known = Projected {
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -47,6 +47,17 @@
         Self(Box::new(Inner { step, peer: peer.clone(), code }))
     }
 
+    /// Error of a stand-in that takes the place of a client.
+    pub fn stand_in(step: &'static str, peer: &Arc<str>, category: Category) -> Self {
+        let code = match category {
+            Category::Unreachable => Code::Unreachable("stand-in".into()),
+            Category::Refused => Code::Refused(503),
+            Category::Conflict => Code::Conflict,
+            Category::Malformed => Code::Malformed("stand-in".into()),
+        };
+        Self::new(step, peer, code)
+    }
+
     /// Coarse kind of the error.
     pub fn classify(&self) -> Category {
         match self.0.code {
--- a/crates/policy/src/booking.rs
+++ b/crates/policy/src/booking.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+pub use sapphirerack_protocol::{Ended, Verdict};
+
 pub use crate::event::{Action, Ask, Event, Found, LedgerLimits, Written};
 pub use crate::ledger::Ledger;
 
@@ -137,35 +139,6 @@
     }
 }
 
-/// What a caller learns of its booking.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Verdict {
-    /// It ran; the target's answer.
-    Answer(Vec<u8>),
-    /// The attempt did not run and never will; a repeat takes the next number.
-    NotRun {
-        /// Number of the attempt that did not run.
-        attempt: u32,
-    },
-    /// An attempt is running.
-    InProgress,
-    /// It may have run or may still run; a retry with the same key is safe.
-    Unknown,
-    /// The key belongs to another request.
-    OtherBody,
-}
-
-/// How a dispatched attempt ended, as far as its runner knows.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Ended {
-    /// The target's answer.
-    Answer(Vec<u8>),
-    /// No target has run it or will.
-    NotRun,
-    /// A target may have run it.
-    Unknown,
-}
-
 fn digest(parts: &[&[u8]]) -> [u8; ID_BYTES] {
     let mut hasher = Sha256::new();
     for part in parts {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,8 @@
 //! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `membership`: heartbeats, failure detection and announced leaving
+//! - `roster`, `rumours`, `probes`: what the membership keeps
 //! - `event`: events and actions of that owner
 //! - `log_copy`: a host's copy of a partition's log
 //! - `ledger`: the owner of one partition of bookings
@@ -37,9 +39,13 @@
 pub mod evidence;
 mod ledger;
 mod log_copy;
+mod membership;
 pub mod moves;
+mod probes;
 mod rendezvous;
+mod roster;
 mod route;
+mod rumours;
 mod snapshot;
 mod start;
 pub mod verdict;
@@ -47,6 +53,7 @@
 
 pub use crate::clock::{Clock, ManualClock, SystemClock};
 pub use crate::coverage::Coverage;
+pub use crate::membership::{Membership, Outgoing, Repair, Timing};
 pub use crate::rendezvous::rank;
 pub use crate::route::{Host, owners};
 pub use crate::snapshot::{Held, SnapshotId, choose};
--- a/crates/protocol/src/booking.rs
+++ b/crates/protocol/src/booking.rs
@@ -37,3 +37,32 @@
     /// The caller's request.
     pub body: Vec<u8>,
 }
+
+/// What a caller learns of its booking.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It ran; the target's answer.
+    Answer(Vec<u8>),
+    /// The attempt did not run and never will; a repeat takes the next number.
+    NotRun {
+        /// Number of the attempt that did not run.
+        attempt: u32,
+    },
+    /// An attempt is running.
+    InProgress,
+    /// It may have run or may still run; a retry with the same key is safe.
+    Unknown,
+    /// The key belongs to another request.
+    OtherBody,
+}
+
+/// How a dispatched attempt ended, as far as its runner knows.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Ended {
+    /// The target's answer.
+    Answer(Vec<u8>),
+    /// No target has run it or will.
+    NotRun,
+    /// A target may have run it.
+    Unknown,
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -28,7 +28,7 @@
 mod message;
 mod search;
 
-pub use crate::booking::{Booking, Claimed};
+pub use crate::booking::{Booking, Claimed, Ended, Verdict};
 pub use crate::error::{Category, Error, Result};
 pub use crate::frame::{Decoder, FRAME_LIMIT, encode};
 pub use crate::gossip::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose, Summary, Topic};
