--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -48,6 +48,19 @@
     assert!(response.as_str().unwrap().contains("\"not_run\":true"));
 }
 
+#[test]
+fn refusal_of_a_path_that_may_have_run_does_not_say_not_run() {
+    let server = echo(Config { body: 10, not_run: |path| path != "/book", ..config() });
+
+    let post = |path: &str| {
+        let url = format!("http://{}{path}", server.address());
+        minreq::post(url).with_body(vec![0; 11]).send().unwrap().as_str().unwrap().to_owned()
+    };
+
+    assert!(post("/book").contains("\"not_run\":false"));
+    assert!(post("/search").contains("\"not_run\":true"));
+}
+
 #[test]
 fn slow_sender_is_dropped() {
     let patience = Duration::from_millis(50);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
+//! - `booking_ways`: how bookings fare by each kind of key
 //! - `history`: checks histories of concurrent runs
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
@@ -34,6 +35,7 @@
 pub mod answer;
 mod baseline;
 mod behaviour;
+pub mod booking_ways;
 mod client;
 pub mod demo;
 mod driver;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,7 +12,8 @@
 use sapphirerack_lab::slopes::Slope;
 use sapphirerack_lab::soak::{self, Soak};
 use sapphirerack_lab::{
-    demo, experiment, load, report, slope_bookings, slope_control, slope_search, slopes, verdict,
+    booking_ways, demo, experiment, load, report, slope_bookings, slope_control, slope_search,
+    slopes, verdict,
 };
 use serde::Serialize;
 
@@ -21,6 +22,7 @@
        lab bench [--json FILE] [--repeats N] [--seconds N] [--deployment NAME] [--only VARIANT]
        lab slopes [--json FILE] [--repeats N] [--only EXPERIMENT]
        lab verdict [--json FILE]
+       lab bookings [--json FILE]
        lab soak [--seed N] [--minutes M]";
 
 /// The load file of `lab bench`.
@@ -71,6 +73,11 @@
         "slopes" => slopes(&matches),
         "verdict" => judge(&matches),
         "soak" => run_soak(&matches),
+        "bookings" => {
+            let mut lines = Lines::open(&matches)?;
+            booking_ways::run(&program(), &mut |fared| lines.write(fared));
+            Ok(())
+        }
         other => Err(Error::Usage(format!("unknown command {other:?}"))),
     }
 }
--- a/crates/lab/src/soak_calls.rs
+++ b/crates/lab/src/soak_calls.rs
@@ -32,6 +32,11 @@
     version: u64,
 }
 
+#[derive(Deserialize)]
+struct Key {
+    key: String,
+}
+
 #[derive(Deserialize)]
 struct Booked {
     #[serde(default)]
@@ -116,6 +121,15 @@
         calls
     }
 
+    /// A key that any host hands out; `None` if it does not answer.
+    pub(crate) fn key(&mut self) -> Option<String> {
+        let host = &self.hosts[self.rng.usize(..self.hosts.len())];
+        let mut response =
+            self.agent.post(format!("http://{}/keys", host.callers)).send("").ok()?;
+        let bytes = response.body_mut().read_to_vec().ok()?;
+        serde_json::from_slice::<Key>(&bytes).ok().map(|k| k.key)
+    }
+
     /// One call through any host.
     pub(crate) fn ask(&mut self, key: &str, attempt: u32, body: &str) -> BookingCall {
         let host = &self.hosts[self.rng.usize(..self.hosts.len())];
