--- a/crates/sapphirerack/tests/moves.rs
+++ b/crates/sapphirerack/tests/moves.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Name, Target, TargetState};
-use sapphirerack_lab::fleet::{Fleet, Plan, Shape};
+use sapphirerack_lab::fleet::{Fleet, MEMBER_KEY, Plan, Shape};
 use sapphirerack_lab::target::{Defect, DefectKind, Trigger};
 use serde_json::Value;
 
@@ -171,6 +171,7 @@
     Command::new(PROGRAM)
         .args([command, "--host", &host, "--member", "zeugenwerk"])
         .args(rest)
+        .env("SAPPHIRERACK_KEY", MEMBER_KEY)
         .output()
         .unwrap()
 }
