--- a/crates/host/src/claims.rs
+++ b/crates/host/src/claims.rs
@@ -307,7 +307,7 @@
         let shard = service.shards.iter().find(holds)?;
         let own = &self.parts.peers.own().data_centre;
         let hosts = owners(&view.catalogue, service, shard, own, &self.parts.peers.live());
-        Some((shard.name.clone(), hosts))
+        Some((shard.name.clone(), hosts.into_iter().map(|c| c.host).collect()))
     }
 
     fn answered(&mut self, answer: Answer) {
--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -135,7 +135,7 @@
             request: id,
             service: service.into(),
             route: route.into(),
-            body: request.body.clone(),
+            body: request.body.as_slice().into(),
             timeout,
         })
     }
