--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,11 +5,13 @@
 //! # Modules
 //!
 //! - `server`: HTTP server of the stand-ins
+//! - `soak`: a run of real processes under faults
 //! - `store`: the platform's store and host list
 //! - `target`: targets
 //! - `behaviour`: what a target is like, and its faults
 //! - `slots`: what runs and waits at a target
 //! - `relay`: cuts and delays between processes
+//! - `booking_ways`: how bookings fare by each kind of key
 //! - `history`: checks histories of concurrent runs
 //! - `fleet`: entry hosts with stand-ins around them
 //! - `plan`: what a fleet consists of
@@ -33,6 +35,7 @@
 pub mod answer;
 mod baseline;
 mod behaviour;
+pub mod booking_ways;
 mod client;
 pub mod demo;
 mod driver;
@@ -53,6 +56,8 @@
 pub mod slope_search;
 pub mod slopes;
 mod slots;
+pub mod soak;
+mod soak_calls;
 pub mod store;
 pub mod target;
 pub mod verdict;
