--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -36,6 +36,8 @@
 //! - `move_front`: operators' HTTP for moves
 //! - `versions`: traffic shares and evidence of back-end versions
 //! - `changes`: changes of the catalogue through the store
+//! - `claim`: which member a request comes from
+//! - `member_front`: operators' HTTP for members
 //! - `config`: the catalogue in force
 //! - `peers`: the other hosts
 //! - `fetch`: what other hosts have and this one misses
@@ -48,6 +50,7 @@
 mod bookings;
 mod calls;
 mod changes;
+mod claim;
 mod claims;
 mod collect;
 mod config;
@@ -63,6 +66,7 @@
 mod judge;
 mod lanes;
 mod links;
+mod member_front;
 mod metrics;
 mod move_front;
 mod moves;
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -4,9 +4,9 @@
 
 use crate::client::Client;
 use crate::error::{Error, Result};
-use crate::{apply, check, get, moves, serve, status};
+use crate::{apply, check, get, member, moves, serve, status};
 
-const COMMANDS: [&Command; 10] = [
+const COMMANDS: [&Command; 12] = [
     &serve::COMMAND,
     &check::COMMAND,
     &apply::COMMAND,
@@ -17,6 +17,8 @@
     &moves::RETIRE,
     &moves::SHIFT,
     &moves::MOVES,
+    &member::PROPOSE,
+    &member::APPROVE,
 ];
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 can't run, 2 usage, 3 file refused, \
