--- a/crates/sapphirerack/tests/query_support/mod.rs
+++ b/crates/sapphirerack/tests/query_support/mod.rs
@@ -45,7 +45,7 @@
             limits: Limits { concurrency: 64, deadline },
             shards: (0..shards).map(shard).collect(),
         }],
-        moves: Vec::new(),
+        ..Catalogue::default()
     }
 }
 
