Take no evidence from targets under protection

Cause: a version that fails only under load was found good: after its first failure a target is held at its cold limit, where it answers well, and these successes hid the failures.

Change: a success of a target that recovers from a failure does not count for its version.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -311,7 +311,9 @@
         if let Some(failure) = ending.failure.filter(|_| outcome != Outcome::Cancelled) {
             self.parts.metrics.target_failed(failure);
         }
-        if outcome != Outcome::Cancelled {
+        // A success of a target under protection is no evidence for its version under load.
+        let is_protected = outcome == Outcome::Answered && group.is_recovering(&entry.target);
+        if outcome != Outcome::Cancelled && !is_protected {
             let outcome = versions::Outcome { ok: outcome == Outcome::Answered, time };
             let work = &entry.work;
             self.parts.versions.record(work.service(), work.route(), &entry.version, outcome);
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -159,6 +159,12 @@
         self.lanes.iter().find(|l| **l.name() == *target).map_or(0, |l| l.ramp.level())
     }
 
+    /// Whether a target is held at its cold limit after a failure, so that its answers tell nothing
+    /// of how it fares under load.
+    pub fn is_recovering(&self, target: &str) -> bool {
+        self.lanes.iter().any(|l| **l.name() == *target && l.ramp.is_recovering())
+    }
+
     /// Names of the targets.
     pub fn targets(&self) -> impl Iterator<Item = &Name> {
         self.lanes.iter().map(Lane::name)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! - `scatter`: one query scattered to the owners of its shards
 //! - `snapshot`: which index snapshot a query is pinned to
 //! - `start`: whether a move may start, and its stages
+//! - `tenure`: who may use how much of a target while hosts disagree
 //! - `verdict`: sequential comparison of a new version with the old one
 //! - `verdicts`: verdicts on new versions, as a set that only grows
 
@@ -64,6 +65,7 @@
 mod scatter;
 mod snapshot;
 mod start;
+mod tenure;
 pub mod verdict;
 mod verdicts;
 
@@ -80,4 +82,5 @@
 pub use crate::route::{Host, group_key, owners, ranked};
 pub use crate::scatter::{Ask, Candidate, Scatter, Setback};
 pub use crate::snapshot::{Held, SnapshotId, choose};
+pub use crate::tenure::{Guard, GuardTiming, Rank, Tenure};
 pub use crate::verdicts::{Verdict, Verdicts};
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -32,6 +32,7 @@
     needed: u32,
     slow: u32,
     failures: u32,
+    recovering: bool,
     rest: Option<Instant>,
 }
 
@@ -47,6 +48,7 @@
             needed: 0,
             slow: 0,
             failures: 0,
+            recovering: false,
             rest: None,
         };
         ramp.restart(rng);
@@ -68,6 +70,11 @@
         self.failures == 0
     }
 
+    /// Whether the target is held at its cold limit after a failure.
+    pub fn is_recovering(&self) -> bool {
+        self.recovering
+    }
+
     /// End of the rest after a failure, if it is later than `now`.
     pub fn rest(&self, now: Instant) -> Option<Instant> {
         self.rest.filter(|end| *end > now)
@@ -90,6 +97,7 @@
         self.successes += 1;
         if self.successes >= self.needed {
             self.level += 1;
+            self.recovering = false;
             self.restart(rng);
         }
     }
@@ -108,6 +116,7 @@
         let rest = FIRST_REST.saturating_mul(1 << self.failures.min(16)).min(LONGEST_REST);
         self.rest = Some(now + rest.mul_f64(0.5 + rng.f64() / 2.0));
         self.failures += 1;
+        self.recovering = true;
     }
 
     fn chill(&mut self, rng: &mut Rng) {
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -407,3 +407,20 @@
         assert!(!end.iter().any(|a| matches!(a, Action::Cancel { .. })), "it is not cancelled");
     }
 }
+
+#[test]
+fn target_recovers_from_a_failure_until_it_steps_up() {
+    let mut group = group(&["a"]);
+    let mut now = Instant::now();
+    warm(&mut group, &mut now, ms(4));
+    assert!(!group.is_recovering("a"));
+    submit(&mut group, now, 1, ms(100));
+    let sent = dispatched(&step(&mut group, now));
+
+    group.finished(now, sent[0].0, Outcome::Failed);
+    assert!(group.is_recovering("a"));
+    now += ms(100);
+    warm(&mut group, &mut now, ms(4));
+
+    assert!(!group.is_recovering("a"));
+}
