--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -33,13 +33,13 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
-    /// How queries are run.
-    #[serde(default)]
-    pub queries: QuerySettings,
     /// SHA-256, in hexadecimal, of the key with which the first catalogue is put in force; it has
     /// no use once the catalogue names a member. Without it an empty catalogue can't be changed.
     #[serde(default)]
     pub founding: Option<Name>,
+    /// How queries are run.
+    #[serde(default)]
+    pub queries: QuerySettings,
     /// Bookings.
     #[serde(default)]
     pub bookings: BookingSettings,
