--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -312,7 +312,7 @@
             self.parts.metrics.target_failed(failure);
         }
         // A success of a target under protection is no evidence for its version under load.
-        let is_protected = outcome == Outcome::Answered && group.is_recovering(&entry.target);
+        let is_protected = outcome == Outcome::Answered && group.is_protected(&entry.target, time);
         if outcome != Outcome::Cancelled && !is_protected {
             let outcome = versions::Outcome { ok: outcome == Outcome::Answered, time };
             let work = &entry.work;
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -159,10 +159,11 @@
         self.lanes.iter().find(|l| **l.name() == *target).map_or(0, |l| l.ramp.level())
     }
 
-    /// Whether a target is held at its cold limit after a failure, so that its answers tell nothing
-    /// of how it fares under load.
-    pub fn is_recovering(&self, target: &str) -> bool {
-        self.lanes.iter().any(|l| **l.name() == *target && l.ramp.is_recovering())
+    /// Whether an answer of a target, in ordinary time, tells nothing of how it fares under load:
+    /// it is held at its cold limit after a failure.
+    pub fn is_protected(&self, target: &str, time: Duration) -> bool {
+        let median = self.latency.median();
+        self.lanes.iter().any(|l| **l.name() == *target && l.is_protected(time, median))
     }
 
     /// Names of the targets.
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -66,6 +66,12 @@
         f64::from(self.running) / f64::from(self.limit().max(1))
     }
 
+    /// Whether an answer is one in ordinary time while the target recovers from a failure.
+    pub(crate) fn is_protected(&self, time: Duration, median: Option<Duration>) -> bool {
+        let is_ordinary = median.is_none_or(|m| time <= m * ORDINARY_FACTOR);
+        is_ordinary && self.ramp.is_recovering()
+    }
+
     /// Takes note of how a request ended after `time`.
     pub(crate) fn judge(
         &mut self,
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -409,18 +409,19 @@
 }
 
 #[test]
-fn target_recovers_from_a_failure_until_it_steps_up() {
+fn target_is_protected_after_a_failure_until_it_steps_up() {
     let mut group = group(&["a"]);
     let mut now = Instant::now();
     warm(&mut group, &mut now, ms(4));
-    assert!(!group.is_recovering("a"));
+    assert!(!group.is_protected("a", ms(4)));
     submit(&mut group, now, 1, ms(100));
     let sent = dispatched(&step(&mut group, now));
 
     group.finished(now, sent[0].0, Outcome::Failed);
-    assert!(group.is_recovering("a"));
+    assert!(group.is_protected("a", ms(4)));
+    assert!(!group.is_protected("a", ms(40)), "a slow answer tells of the target");
     now += ms(100);
     warm(&mut group, &mut now, ms(4));
 
-    assert!(!group.is_recovering("a"));
+    assert!(!group.is_protected("a", ms(4)));
 }
