--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -322,7 +322,9 @@
         if let Some(failure) = ending.failure.filter(|_| outcome != Outcome::Cancelled) {
             self.parts.metrics.target_failed(failure);
         }
-        if outcome != Outcome::Cancelled || entry.cancelled {
+        // A success of a target under protection is no evidence for its version under load.
+        let is_protected = outcome == Outcome::Answered && group.is_protected(&entry.target, time);
+        if !is_protected && (outcome != Outcome::Cancelled || entry.cancelled) {
             // A cancelled request took at least the time until then; to leave it out would make a
             // slow version look fast.
             let ok = matches!(outcome, Outcome::Answered | Outcome::Cancelled);
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -159,6 +159,13 @@
         self.lanes.iter().find(|l| **l.name() == *target).map_or(0, |l| l.ramp.level())
     }
 
+    /// Whether an answer of a target, in ordinary time, tells nothing of how it fares under load:
+    /// it is held at its cold limit after a failure.
+    pub fn is_protected(&self, target: &str, time: Duration) -> bool {
+        let median = self.latency.median();
+        self.lanes.iter().any(|l| **l.name() == *target && l.is_protected(time, median))
+    }
+
     /// Names of the targets.
     pub fn targets(&self) -> impl Iterator<Item = &Name> {
         self.lanes.iter().map(Lane::name)
