Judge a version's latency on targets that have run enough to be warm

The owner's cold limit keeps new targets slow for longer than the 20 outcomes after which latency was judged.

Ruled out: a longer count of outcomes over all targets: at a share of 1 and 5 % one target may be warm while others have run nothing.

Change: a target's latency counts once it has run 64 requests for its owner, as many as the ramp asks for before its first step; until then its answers count as answers only. Failures count from the first one.

A slow version with so little traffic that no target runs 64 requests is not found slow.

--- a/crates/host/src/owner.rs
+++ b/crates/host/src/owner.rs
@@ -328,6 +328,7 @@
             // A cancelled request took at least the time until then; to leave it out would make a
             // slow version look fast.
             let ok = matches!(outcome, Outcome::Answered | Outcome::Cancelled);
+            let time = (!group.is_new(&entry.target)).then_some(time);
             let outcome = versions::Outcome { ok, time };
             let work = &entry.work;
             self.parts.versions.record(work.service(), work.route(), &entry.version, outcome);
--- a/crates/host/src/versions.rs
+++ b/crates/host/src/versions.rs
@@ -22,31 +22,39 @@
 pub(crate) struct Outcome {
     /// Whether the target gave a usable answer.
     pub ok: bool,
-    /// Time from dispatch to the end.
-    pub time: Duration,
+    /// Time from dispatch to the end; `None` if the target has yet to become warm.
+    pub time: Option<Duration>,
 }
 
 /// Outcomes of one version on one route since they were last taken.
 struct Arm {
     failures: AtomicU64,
+    /// Usable answers of targets that have yet to become warm.
+    untimed: AtomicU64,
     latency: [AtomicU64; BUCKETS],
 }
 
 impl Default for Arm {
     fn default() -> Self {
-        Self { failures: AtomicU64::new(0), latency: [const { AtomicU64::new(0) }; BUCKETS] }
+        let [failures, untimed] = [const { AtomicU64::new(0) }; 2];
+        Self { failures, untimed, latency: [const { AtomicU64::new(0) }; BUCKETS] }
     }
 }
 
 impl Arm {
     fn record(&self, outcome: Outcome) {
-        let counter = if outcome.ok { &self.latency[bucket(outcome.time)] } else { &self.failures };
+        let counter = match outcome.time {
+            _ if !outcome.ok => &self.failures,
+            Some(time) => &self.latency[bucket(time)],
+            None => &self.untimed,
+        };
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
     fn take(&self) -> Outcomes {
         let failures = self.failures.swap(0, Ordering::Relaxed);
-        let mut outcomes = Outcomes { trials: failures, failures, ..Outcomes::default() };
+        let trials = failures + self.untimed.swap(0, Ordering::Relaxed);
+        let mut outcomes = Outcomes { trials, failures, ..Outcomes::default() };
         for (taken, counter) in outcomes.latency.iter_mut().zip(&self.latency) {
             *taken = counter.swap(0, Ordering::Relaxed);
             outcomes.trials += *taken;
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -166,6 +166,11 @@
         self.lanes.iter().any(|l| **l.name() == *target && l.is_protected(time, median))
     }
 
+    /// Whether a target has run too few requests to be warm, so that its latency tells nothing.
+    pub fn is_new(&self, target: &str) -> bool {
+        self.lanes.iter().any(|l| **l.name() == *target && l.is_new())
+    }
+
     /// Names of the targets.
     pub fn targets(&self) -> impl Iterator<Item = &Name> {
         self.lanes.iter().map(Lane::name)
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use sapphirerack_catalogue::{Name, Target};
 
-use crate::ramp::Ramp;
+use crate::ramp::{COLD_SUCCESSES, Ramp};
 use crate::{Outcome, SnapshotId};
 
 /// Connections that are kept free at a target for cancellations and health, by both owners.
@@ -26,6 +26,8 @@
     pub running: u32,
     /// Snapshots that it holds; `None` if that is unknown.
     pub held: Option<Vec<SnapshotId>>,
+    /// Requests that it has run for this host, up to those of a first warm-up.
+    ran: u32,
     /// Most requests that the host's share of the target allows.
     pub share: u32,
 }
@@ -39,7 +41,7 @@
 impl Lane {
     pub(crate) fn new(target: Target, waiting: u32, rng: &mut Rng) -> Self {
         let ramp = Ramp::new(target.cold, full_limit(&target, waiting), rng);
-        Self { target, ramp, running: 0, held: None, share: u32::MAX }
+        Self { target, ramp, running: 0, held: None, ran: 0, share: u32::MAX }
     }
 
     pub(crate) fn name(&self) -> &Name {
@@ -72,6 +74,11 @@
         is_ordinary && self.ramp.is_recovering()
     }
 
+    /// Whether the target has run too few requests to be warm; its latency tells nothing yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.ran < COLD_SUCCESSES
+    }
+
     /// Takes note of how a request ended after `time`.
     pub(crate) fn judge(
         &mut self,
@@ -83,6 +90,9 @@
     ) {
         let is_above = |factor| median.is_some_and(|m| time > m * factor);
         let is_slow = is_above(SLOW_FACTOR);
+        if matches!(outcome, Outcome::Answered | Outcome::Cancelled | Outcome::Late) {
+            self.ran = (self.ran + 1).min(COLD_SUCCESSES);
+        }
         match outcome {
             Outcome::Answered | Outcome::Cancelled if is_slow => self.ramp.slowed(rng),
             Outcome::Answered if is_above(ORDINARY_FACTOR) => {}
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -11,7 +11,7 @@
 use fastrand::Rng;
 
 /// Successes at the cold limit before the first step up.
-const COLD_SUCCESSES: u32 = 64;
+pub(crate) const COLD_SUCCESSES: u32 = 64;
 
 /// Successes before each further step up, and the most by which any step is delayed at random.
 const STEP_SUCCESSES: u32 = 16;
