Admit queries by the service's limit, and serve only once joined

Cause: limits.concurrency of a service was checked in the catalogue and enforced nowhere. A host that had a configuration called itself ready before it had met another host, and would have owned every group then; two tests of bookings had run into it.

Change: each service has its number of places on an entry host; a query without a place is refused as not run. A host is ready, and takes queries, once it counts another host live, the platform's list names no other, or 3 s have passed.

Conclusion: admission is by service on each host, not by member over all hosts.

--- a/crates/host/src/gather.rs
+++ b/crates/host/src/gather.rs
@@ -11,6 +11,7 @@
 use sapphirerack_policy::{Ask, Candidate, Clock, Coverage, SnapshotId, choose};
 use sapphirerack_protocol::{Part, Reply, Request, SubQuery};
 
+use crate::admission::Admission;
 use crate::calls::{Call, Calls};
 use crate::collect::Collector;
 use crate::metrics::{Labels, Metrics};
@@ -52,7 +53,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
     Unconfigured,
+    Alone,
     UnknownService,
+    Crowded,
     Unavailable,
 }
 
@@ -61,6 +64,8 @@
     pub(crate) fn describe(self) -> (u16, &'static str) {
         match self {
             Self::Unconfigured => (503, "no configuration yet"),
+            Self::Alone => (503, "not joined yet"),
+            Self::Crowded => (503, "the service's limit of concurrent queries"),
             Self::UnknownService => (404, "unknown service"),
             Self::Unavailable => (503, "no replica holds a snapshot"),
         }
@@ -74,6 +79,7 @@
     peers: Arc<Peers>,
     calls: Arc<Calls>,
     metrics: Arc<Metrics>,
+    admission: Admission,
     routes: Routes,
     snapshots: Arc<Snapshots>,
     collector: Collector,
@@ -91,7 +97,8 @@
         let routes = Routes::default();
         let snapshots = Arc::new(Snapshots::new(clock.clone()));
         let collector = Collector::new(clock.clone(), calls.clone(), snapshots.clone(), settings);
-        Self { clock, routing, peers, calls, metrics, routes, snapshots, collector }
+        let admission = Admission::default();
+        Self { clock, routing, peers, calls, metrics, admission, routes, snapshots, collector }
     }
 
     /// Runs a query until it is complete or its deadline passes.
@@ -101,7 +108,12 @@
         if view.version == 0 {
             return Err(Refusal::Unconfigured);
         }
+        if !self.peers.is_joined() {
+            return Err(Refusal::Alone);
+        }
         let service = view.catalogue.service(&query.service).ok_or(Refusal::UnknownService)?;
+        let concurrency = service.limits.concurrency;
+        let _place = self.admission.admit(&service.name, concurrency).ok_or(Refusal::Crowded)?;
         let limit = service.limits.deadline;
         let timeout = query.timeout.map_or(limit, |t| t.min(limit));
         let deadline = start + timeout;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `settings`: what an operator sets for one host
 //! - `serve`: starts and joins all parts
 //! - `entry`: callers' HTTP
+//! - `admission`: queries in hand, by service
 //! - `gather`: one query, scattered and gathered
 //! - `collect`: drives one scattered query
 //! - `routes`: which hosts are asked, kept between queries
@@ -47,6 +48,7 @@
 //! - `metrics`: counters and histograms
 //! - `error`: the crate's error
 
+mod admission;
 mod bookings;
 mod calls;
 mod changes;
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -81,6 +81,9 @@
         if self.config.view().version == 0 {
             return Response::text(503, "no configuration yet\n");
         }
+        if !self.reporter.peers.is_joined() {
+            return Response::text(503, "not joined yet\n");
+        }
         if self.leaving.is_set() {
             return Response::text(503, "leaving\n");
         }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -5,10 +5,10 @@
 //! again.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Name;
 use sapphirerack_platform::{HostState, Store};
@@ -23,6 +23,9 @@
 /// Time between two reads of the host list by a host that is among the readers.
 const READER_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time after which a host that has met no other serves alone.
+const JOIN_LIMIT: Duration = Duration::from_secs(3);
+
 /// Hosts of a data centre that go on reading the host list.
 const READERS: usize = 2;
 const READERS_KEY: &[u8] = b"host list";
@@ -34,16 +37,20 @@
     membership: Mutex<Membership>,
     live: RwLock<Arc<[Host]>>,
     epoch: AtomicU64,
+    start: Instant,
+    joined: AtomicBool,
 }
 
 impl Peers {
     /// Only this host, at first.
     pub(crate) fn new(own: Host, clock: Arc<dyn Clock>, timing: Timing) -> Arc<Self> {
         let seed = fastrand::u64(..);
-        let membership = Membership::new(&own, timing, clock.now(), clock.unix(), seed);
+        let start = clock.now();
+        let membership = Membership::new(&own, timing, start, clock.unix(), seed);
         let live = RwLock::new(Arc::from([own.clone()]));
         let epoch = AtomicU64::new(membership.epoch());
-        Arc::new(Self { own, clock, membership: Mutex::new(membership), live, epoch })
+        let (membership, joined) = (Mutex::new(membership), AtomicBool::new(false));
+        Arc::new(Self { own, clock, membership, live, epoch, start, joined })
     }
 
     /// This host.
@@ -62,6 +69,14 @@
         self.epoch.load(Ordering::Acquire)
     }
 
+    /// Whether this host has met others, or has reason to believe that there are none.
+    ///
+    /// Before that it would take itself for the owner of every group.
+    pub(crate) fn is_joined(&self) -> bool {
+        let waited = self.clock.now().saturating_duration_since(self.start);
+        self.joined.load(Ordering::Acquire) || waited >= JOIN_LIMIT
+    }
+
     /// Whether a live host did not answer lately.
     pub(crate) fn is_suspected(&self, name: &str) -> bool {
         self.membership().liveness(name) == Some(Liveness::Suspect)
@@ -147,7 +162,10 @@
         let result = change(&mut membership);
         let epoch = membership.epoch();
         if epoch != self.epoch.load(Ordering::Acquire) {
-            let live = membership.live().into();
+            let live: Arc<[Host]> = membership.live().into();
+            if live.len() > 1 {
+                self.joined.store(true, Ordering::Release);
+            }
             *self.live.write().unwrap_or_else(PoisonError::into_inner) = live;
             self.epoch.store(epoch, Ordering::Release);
         }
@@ -170,7 +188,11 @@
                     Ok(entries) => {
                         let listed = entries.iter().filter(|e| e.state == HostState::Live);
                         let addresses = listed.map(|e| e.address).chain(seeds.iter().copied());
-                        peers.set_seeds(addresses.collect());
+                        let addresses: Vec<SocketAddr> = addresses.collect();
+                        if addresses.iter().all(|a| *a == peers.own.address) {
+                            peers.joined.store(true, Ordering::Release);
+                        }
+                        peers.set_seeds(addresses);
                     }
                     Err(e) => log::warn!("step=hosts error={e:?}"),
                 }
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -69,7 +69,7 @@
             host: own.name.clone(),
             data_centre: own.data_centre.clone(),
             version,
-            ready: version > 0,
+            ready: version > 0 && self.peers.is_joined(),
             live_hosts: self.peers.live().len(),
             cut: self.peers.cut(),
             gossip_sent,
--- /dev/null
+++ b/crates/sapphirerack/tests/admission.rs
@@ -0,0 +1,36 @@
+//! A service gets no more queries in hand than its limit, and a refusal says so truly.
+
+#![allow(clippy::unwrap_used)]
+
+mod query_support;
+
+use std::time::{Duration, Instant};
+
+use query_support::{LONG, catalogue, is_complete, plan, search, start};
+
+/// Within what a host lets callers ask for.
+const TIMEOUT: Duration = Duration::from_secs(8);
+
+#[test]
+fn query_beyond_the_services_limit_is_refused_as_not_run() {
+    let mut catalogue = catalogue(1, &["munich"], LONG);
+    catalogue.services[0].limits.concurrency = 1;
+    let fleet = start(plan(catalogue, &["munich"]));
+    let target = &fleet.targets[0];
+    target.update(|b| b.service = Duration::from_secs(2));
+    let before = target.counters().received;
+
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| search(&fleet.hosts[0], "first", TIMEOUT));
+        let limit = Instant::now() + LONG;
+        while target.counters().received == before {
+            assert!(Instant::now() < limit, "the first query does not arrive");
+            std::thread::yield_now();
+        }
+        let second = search(&fleet.hosts[0], "second", TIMEOUT).unwrap();
+
+        assert_eq!(second["not_run"], true, "{second}");
+        assert!(first.join().unwrap().is_some_and(|a| is_complete(&a)));
+    });
+    assert_eq!(target.counters().received, before + 1, "the refused query was not run");
+}
