--- a/crates/lab/src/booking_ways.rs
+++ b/crates/lab/src/booking_ways.rs
@@ -58,13 +58,13 @@
     way: Way,
     away: Away,
     bookings: u64,
-    served_at_once: f64,
-    served_with_retries: f64,
+    at_once: f64,
+    served: f64,
     not_run: u64,
     unknown: u64,
     p50_ms: f64,
     p99_ms: f64,
-    store_writes_each: f64,
+    writes: f64,
 }
 
 struct Tally {
@@ -108,13 +108,13 @@
         way,
         away,
         bookings,
-        served_at_once: share(tally.at_once),
-        served_with_retries: share(tally.served),
+        at_once: share(tally.at_once),
+        served: share(tally.served),
         not_run: tally.not_run,
         unknown: tally.unknown,
         p50_ms: millis(0.5),
         p99_ms: millis(0.99),
-        store_writes_each: share(writes),
+        writes: share(writes),
     }
 }
 
--- a/crates/sapphirerack/src/apply.rs
+++ b/crates/sapphirerack/src/apply.rs
@@ -26,7 +26,13 @@
     let checked = sapphirerack_catalogue::from_text(&text);
     checked.map_err(|e| Error::File(format!("{path}: {e}")))?;
     let change = args.value("change").unwrap_or_else(change_id);
-    let accepted = args.client()?.put("apply catalogue", "/catalogue", &change, text)?;
+    let accepted = args.client()?.change(
+        "apply catalogue",
+        minreq::Method::Put,
+        "/catalogue",
+        &change,
+        text,
+    )?;
     if args.is_set("json") {
         print_json(&accepted);
     } else {
--- a/crates/sapphirerack/src/client.rs
+++ b/crates/sapphirerack/src/client.rs
@@ -44,20 +44,21 @@
         self.send(step, minreq::get(self.url(path)))
     }
 
-    /// Puts `body` at `path`, as the change `change`.
+    /// Sends `body` to `path` as the change `change`.
     ///
     /// # Errors
     ///
     /// No answer, a refusal or a conflict.
-    pub(crate) fn put(
+    pub(crate) fn change(
         &self,
         step: &'static str,
+        method: minreq::Method,
         path: &str,
         change: &str,
         body: String,
     ) -> Result<Value> {
-        let request = minreq::put(self.url(path)).with_header("x-change-id", change);
-        self.send(step, request.with_body(body))
+        let request = minreq::Request::new(method, self.url(path));
+        self.send(step, request.with_header("x-change-id", change).with_body(body))
     }
 
     /// Posts `body` to `path`.
@@ -69,22 +70,6 @@
         self.send(step, minreq::post(self.url(path)).with_body(body))
     }
 
-    /// Posts `body` to `path`, as the change `change`.
-    ///
-    /// # Errors
-    ///
-    /// No answer, a refusal or a conflict.
-    pub(crate) fn post_change(
-        &self,
-        step: &'static str,
-        path: &str,
-        change: &str,
-        body: String,
-    ) -> Result<Value> {
-        let request = minreq::post(self.url(path)).with_header("x-change-id", change);
-        self.send(step, request.with_body(body))
-    }
-
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.host)
     }
--- a/crates/sapphirerack/src/member.rs
+++ b/crates/sapphirerack/src/member.rs
@@ -50,7 +50,7 @@
 
 fn send(args: &Args, step: &'static str, path: &str, body: String) -> Result<()> {
     let change = args.value("change").unwrap_or_else(change_id);
-    let accepted = args.client()?.post_change(step, path, &change, body)?;
+    let accepted = args.client()?.change(step, minreq::Method::Post, path, &change, body)?;
     if args.is_set("json") {
         print_json(&accepted);
     } else {
