--- /dev/null
+++ b/crates/forward/src/ask.rs
@@ -0,0 +1,200 @@
+//! A request to one service, with hedges and retries.
+//!
+//! A request that may be repeated goes to a second target when the first is slow or fails, as far
+//! as the route's attempts and the budget for extra requests allow. One that must not be repeated
+//! goes to another target only if the first has certainly not run it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use sapphirerack_catalogue::Name;
+use sapphirerack_policy::direct::Choice;
+use tokio::task::{AbortHandle, JoinHandle, spawn_local};
+
+use crate::attempt::{Call, Outcome, attempt};
+use crate::host::Host;
+
+/// Time for which requests that lost against another target go on after the answer, so that their
+/// connections are kept and their targets' recovery is seen.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// Most targets that a request is offered to while they refuse it.
+const MOST_OFFERS: usize = 4;
+
+/// Requests at targets on behalf of one request of a caller.
+///
+/// If this is dropped before the answer, since the caller has gone, all of them are ended at once.
+#[derive(Default)]
+pub(crate) struct Attempts {
+    handles: RefCell<Vec<AbortHandle>>,
+    trail: RefCell<Vec<String>>,
+    answered: std::cell::Cell<bool>,
+}
+
+impl Attempts {
+    /// Takes note that the caller has its answer.
+    pub(crate) fn answered(&self) {
+        self.answered.set(true);
+    }
+
+    /// Takes note of what happened at a target, for the log.
+    pub(crate) fn note(&self, target: &str, what: &str) {
+        self.trail.borrow_mut().push(format!("{target}:{what}"));
+    }
+
+    /// What happened at the targets, but for good answers.
+    pub(crate) fn trail(&self) -> String {
+        self.trail.borrow().join(",")
+    }
+
+    /// Whether a target was sent the request.
+    pub(crate) fn is_started(&self) -> bool {
+        !self.handles.borrow().is_empty()
+    }
+}
+
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        let mut open = self.handles.take();
+        open.retain(|h| !h.is_finished());
+        if open.is_empty() {
+            return;
+        }
+        let end = move || open.iter().for_each(AbortHandle::abort);
+        if self.answered.get() {
+            spawn_local(async move {
+                tokio::time::sleep(LINGER).await;
+                end();
+            });
+        } else {
+            end();
+        }
+    }
+}
+
+/// Asks a service; `None` if it has no target that may be asked.
+pub(crate) async fn ask(
+    host: &Rc<Host>,
+    call: &Rc<Call>,
+    service: &Name,
+    attempts: &Attempts,
+) -> Option<Outcome> {
+    let mut asking = Asking { host, call, service, attempts, tried: Vec::new(), runs: 0, hedge: None };
+    host.balance(service, |b| b.earn());
+    let mut running = FuturesUnordered::new();
+    running.push(asking.start()?);
+    let mut last = None;
+    loop {
+        let hedge = asking.hedge;
+        let outcome = tokio::select! {
+            outcome = running.next() => outcome,
+            () = sleep_until(hedge) => {
+                asking.hedge = None;
+                if let Some(second) = asking.hedge() {
+                    running.push(second);
+                }
+                continue;
+            }
+        };
+        let Some((target, outcome)) = outcome else { return last };
+        if outcome.is_success() {
+            return Some(outcome);
+        }
+        asking.failed(&target, &outcome);
+        let again = asking.retry(&outcome);
+        last = Some(outcome);
+        if let Some(second) = again {
+            running.push(second);
+        }
+    }
+}
+
+/// Never ends without a time.
+async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+struct Asking<'a> {
+    host: &'a Rc<Host>,
+    call: &'a Rc<Call>,
+    service: &'a Name,
+    attempts: &'a Attempts,
+    tried: Vec<Name>,
+    /// Targets that may have run the request.
+    runs: u32,
+    /// When a second target is asked.
+    hedge: Option<Instant>,
+}
+
+type Running = std::pin::Pin<Box<dyn Future<Output = (Name, Outcome)>>>;
+
+impl Asking<'_> {
+    fn start(&mut self) -> Option<Running> {
+        let now = self.host.now();
+        let (usual, overdue) =
+            self.host.typical(&self.call.route, |t| (t.mean(), t.overdue()));
+        let tried = &self.tried;
+        let choice = self
+            .host
+            .balance(self.service, |b| b.choose(tried, usual, overdue, now))
+            .flatten()?;
+        self.tried.push(choice.target.id.clone());
+        self.runs += 1;
+        self.hedge = self.call.route.idempotent.then(|| now + overdue);
+        Some(self.spawn(choice))
+    }
+
+    fn spawn(&self, choice: Choice) -> Running {
+        let id = choice.target.id.clone();
+        let run = attempt(self.host.clone(), self.call.clone(), self.service.clone(), choice);
+        let task: JoinHandle<Outcome> = spawn_local(run);
+        self.attempts.handles.borrow_mut().push(task.abort_handle());
+        Box::pin(async move {
+            let outcome = task.await;
+            (id, outcome.unwrap_or_else(|e| Outcome::Unknown(format!("task ended: {e}"))))
+        })
+    }
+
+    fn hedge(&mut self) -> Option<Running> {
+        if self.runs >= self.call.route.attempts {
+            return None;
+        }
+        self.host.balance(self.service, |b| b.may_hedge()).filter(|may| *may)?;
+        self.host.metrics.extra(&self.call.route.name, "hedge");
+        self.start()
+    }
+
+    fn failed(&mut self, target: &str, outcome: &Outcome) {
+        let what = match outcome {
+            Outcome::Answered(answer) => answer.head.status.as_u16().to_string(),
+            Outcome::NotRun(reason) => format!("not_run({reason})"),
+            Outcome::Unknown(reason) => format!("unknown({reason})"),
+        };
+        self.attempts.note(target, &what);
+        self.host.metrics.target_failed(self.service);
+        if matches!(outcome, Outcome::NotRun(_)) {
+            self.runs -= 1;
+        }
+    }
+
+    fn retry(&mut self, outcome: &Outcome) -> Option<Running> {
+        let not_run = matches!(outcome, Outcome::NotRun(_));
+        let allowed = not_run || self.call.route.idempotent;
+        let answered = matches!(outcome, Outcome::Answered(a) if !a.head.status.is_server_error());
+        if !allowed || answered || self.runs >= self.call.route.attempts {
+            return None;
+        }
+        if self.tried.len() >= MOST_OFFERS || self.host.now() >= self.call.deadline {
+            return None;
+        }
+        self.host.balance(self.service, |b| b.may_retry()).filter(|may| *may)?;
+        self.host.metrics.extra(&self.call.route.name, "retry");
+        self.start()
+    }
+}
--- /dev/null
+++ b/crates/forward/src/error.rs
@@ -0,0 +1,124 @@
+//! The crate's error.
+
+use std::sync::Arc;
+use std::{fmt, io};
+
+/// Result of this crate's functions.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Coarse kind of an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Category {
+    /// The settings are wrong.
+    Settings,
+    /// The operating system refused something.
+    System,
+    /// A peer did not answer as its interface promises.
+    Peer,
+    /// A peer does not keep the history that was asked for.
+    Expired,
+}
+
+/// Why something failed, with the step and the peer.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    step: &'static str,
+    peer: Option<Arc<str>>,
+    code: Code,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum Code {
+    #[error("{0}")]
+    Syntax(serde_json::Error),
+    #[error("{0}")]
+    Rule(String),
+    #[error("{0}")]
+    Io(io::Error),
+    #[error("{0}")]
+    Http(hyper::Error),
+    #[error("no answer in time")]
+    Timeout,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("malformed: {0}")]
+    Malformed(String),
+    #[error("{0}")]
+    Metrics(String),
+}
+
+impl Error {
+    #[cold]
+    fn new(step: &'static str, peer: Option<Arc<str>>, code: Code) -> Self {
+        Self(Box::new(Inner { step, peer, code }))
+    }
+
+    #[cold]
+    pub(crate) fn syntax(source: serde_json::Error) -> Self {
+        Self::new("read settings", None, Code::Syntax(source))
+    }
+
+    #[cold]
+    pub(crate) fn rule(message: String) -> Self {
+        Self::new("check settings", None, Code::Rule(message))
+    }
+
+    #[cold]
+    pub(crate) fn io(step: &'static str, peer: impl ToString, source: io::Error) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Io(source))
+    }
+
+    #[cold]
+    pub(crate) fn http(step: &'static str, peer: impl ToString, source: hyper::Error) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Http(source))
+    }
+
+    #[cold]
+    pub(crate) fn timeout(step: &'static str, peer: impl ToString) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Timeout)
+    }
+
+    #[cold]
+    pub(crate) fn status(step: &'static str, peer: impl ToString, status: u16) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Status(status))
+    }
+
+    #[cold]
+    pub(crate) fn malformed(step: &'static str, peer: impl ToString, reason: String) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Malformed(reason))
+    }
+
+    #[cold]
+    pub(crate) fn metrics(reason: String) -> Self {
+        Self::new("start metrics", None, Code::Metrics(reason))
+    }
+
+    /// Coarse kind of the error.
+    pub fn classify(&self) -> Category {
+        match self.0.code {
+            Code::Syntax(_) | Code::Rule(_) => Category::Settings,
+            Code::Io(_) | Code::Metrics(_) => Category::System,
+            Code::Status(410) => Category::Expired,
+            Code::Http(_) | Code::Timeout | Code::Status(_) | Code::Malformed(_) => Category::Peer,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0.peer {
+            Some(peer) => write!(f, "{} at {peer}: {}", self.0.step, self.0.code),
+            None => write!(f, "{}: {}", self.0.step, self.0.code),
+        }
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/forward/src/host.rs
@@ -0,0 +1,170 @@
+//! What the parts of a host share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_policy::direct::{Balance, Shares, Split, Typical};
+use sapphirerack_policy::{Clock, Membership};
+use sapphirerack_routes::{Route, Target, View};
+use tokio::sync::Notify;
+
+use crate::client::Pool;
+use crate::metrics::Metrics;
+use crate::{Dialect, Settings};
+
+/// Part of a route's aim that its targets are expected to need, before any answer was seen.
+const FIRST_GUESS: f64 = 0.2;
+
+/// Part of the connections of a target that the hosts use together.
+const CONNECTIONS_USED: f64 = 0.85;
+
+/// Fewest hosts among which limits are divided, so that a host that knows no other yet does not
+/// take them all.
+const LEAST_HOSTS: usize = 3;
+
+/// Where a host stands between start and end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Knows no configuration yet.
+    Starting,
+    /// Takes requests.
+    Serving,
+    /// Was told to stop.
+    Leaving,
+}
+
+/// State of a host, for the one thread that runs all its parts.
+pub(crate) struct Host {
+    pub settings: RefCell<Settings>,
+    pub dialect: Dialect,
+    pub clock: Arc<dyn Clock>,
+    pub metrics: Metrics,
+    pub view: RefCell<View>,
+    pub members: RefCell<Membership>,
+    pub pool: Rc<Pool>,
+    /// Rings when the host was told to stop.
+    pub stopping: Notify,
+    /// Rings when open requests must be answered since the process ends.
+    pub ending: Notify,
+    phase: Cell<Phase>,
+    /// Most hosts that were live at the same time.
+    most: Cell<usize>,
+    services: RefCell<Map<Name, Balance>>,
+    typical: RefCell<Map<Name, Typical>>,
+    splits: RefCell<Map<Name, Split>>,
+}
+
+impl Host {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Dialect,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        members: Membership,
+    ) -> Self {
+        Self {
+            settings: RefCell::new(settings),
+            dialect,
+            clock,
+            metrics,
+            view: RefCell::default(),
+            members: RefCell::new(members),
+            pool: Rc::default(),
+            stopping: Notify::new(),
+            ending: Notify::new(),
+            phase: Cell::new(Phase::Starting),
+            most: Cell::new(LEAST_HOSTS),
+            services: RefCell::default(),
+            typical: RefCell::default(),
+            splits: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Takes note that the host was told to stop.
+    pub(crate) fn leave(&self) {
+        self.phase.set(Phase::Leaving);
+        self.members.borrow_mut().leave(self.now());
+        self.stopping.notify_waiters();
+    }
+
+    /// Brings everything that depends on the view up to date.
+    pub(crate) fn view_changed(&self) {
+        let now = self.now();
+        let view = self.view.borrow();
+        let configuration = view.table().configuration();
+        let mut by_service: Map<Name, Vec<Arc<Target>>> = Map::default();
+        for target in view.usable() {
+            by_service.entry(target.service.clone()).or_default().push(target.clone());
+        }
+        let shares = self.shares();
+        let home = self.settings.borrow().data_centre.clone();
+        let mut services = self.services.borrow_mut();
+        services.retain(|name, _| configuration.services.contains_key(name));
+        for (name, service) in &configuration.services {
+            let balance = services.entry(name.clone()).or_insert_with(|| Balance::new(shares));
+            let targets = by_service.remove(name).unwrap_or_default();
+            balance.update(&targets, &home, service.cold_rate, now);
+        }
+        let mut typical = self.typical.borrow_mut();
+        typical.retain(|name, _| configuration.routes.iter().any(|r| r.name == *name));
+        if view.version() > 0 && self.phase() == Phase::Starting {
+            self.phase.set(Phase::Serving);
+            log::info!("event=serving version={}", view.version());
+        }
+    }
+
+    /// Takes note of the hosts that are live now.
+    pub(crate) fn hosts_changed(&self, live: usize) {
+        if live > self.most.get() {
+            self.most.set(live);
+            let shares = self.shares();
+            for balance in self.services.borrow_mut().values_mut() {
+                balance.set_shares(shares);
+            }
+        }
+    }
+
+    fn shares(&self) -> Shares {
+        let bounds = self.settings.borrow().bounds.clone();
+        Shares { hosts: self.most.get(), extra: bounds.extra, slack: bounds.slack }
+    }
+
+    /// Idle connections that this host may keep to each target of a service.
+    pub(crate) fn connections(&self, service: &Name) -> usize {
+        let view = self.view.borrow();
+        let limit = view.table().configuration().services.get(service).map_or(1, |s| s.connections);
+        let share = f64::from(limit) * CONNECTIONS_USED / self.most.get() as f64;
+        (share as usize).max(1)
+    }
+
+    /// Runs `f` on the targets of a service; `None` if the service is not known.
+    pub(crate) fn balance<T>(&self, service: &Name, f: impl FnOnce(&mut Balance) -> T) -> Option<T> {
+        self.services.borrow_mut().get_mut(service).map(f)
+    }
+
+    /// Runs `f` on the usual latency of a route.
+    pub(crate) fn typical<T>(&self, route: &Route, f: impl FnOnce(&mut Typical) -> T) -> T {
+        let mut typical = self.typical.borrow_mut();
+        if let Some(known) = typical.get_mut(&route.name) {
+            return f(known);
+        }
+        let guess = route.aim.mul_f64(FIRST_GUESS).max(Duration::from_millis(1));
+        f(typical.entry(route.name.clone()).or_insert_with(|| Typical::new(guess)))
+    }
+
+    /// Runs `f` on the shares that a route's services have had.
+    pub(crate) fn split<T>(&self, route: &Route, f: impl FnOnce(&mut Split) -> T) -> T {
+        f(self.splits.borrow_mut().entry(route.name.clone()).or_default())
+    }
+}
--- /dev/null
+++ b/crates/forward/src/metrics.rs
@@ -0,0 +1,107 @@
+//! Counters and histograms by route and service, in the Prometheus text format.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use sapphirerack_catalogue::Name;
+
+use crate::{Error, Result};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.005, 0.010, 0.020, 0.030, 0.040, 0.060, 0.080, 0.1, 0.15, 0.25, 0.5, 1.0];
+
+/// Upper bounds of the coverage buckets, as fractions.
+const COVERAGE_BOUNDS: [f64; 5] = [0.5, 0.75, 0.9, 0.99, 0.999_999];
+
+/// Instruments of one host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    coverage: Histogram<f64>,
+    extra: Counter<u64>,
+    connections: Counter<u64>,
+    target_failures: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_failures: Counter<u64>,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::metrics(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sapphirerack");
+        let histogram = |name: &'static str, bounds: &[f64]| {
+            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
+        };
+        Ok(Self {
+            latency: histogram("request_latency_seconds", &LATENCY_BOUNDS),
+            coverage: histogram("request_coverage", &COVERAGE_BOUNDS),
+            extra: meter.u64_counter("extra_requests").build(),
+            connections: meter.u64_counter("target_connections").build(),
+            target_failures: meter.u64_counter("target_failures").build(),
+            store_calls: meter.u64_counter("store_calls").build(),
+            store_failures: meter.u64_counter("store_failures").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records an answer to a caller.
+    pub(crate) fn answered(&self, route: &Name, status: u16, time: Duration) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.latency.record(time.as_secs_f64(), &[label("route", route), status]);
+    }
+
+    /// Records the share of the shards that an answer holds.
+    pub(crate) fn covered(&self, route: &Name, coverage: f64) {
+        self.coverage.record(coverage, &[label("route", route)]);
+    }
+
+    /// Counts a hedge or a retry.
+    pub(crate) fn extra(&self, route: &Name, kind: &'static str) {
+        self.extra.add(1, &[label("route", route), KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a new connection to a target.
+    pub(crate) fn connected(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a request that a target did not answer well.
+    pub(crate) fn target_failed(&self, service: &Name) {
+        self.target_failures.add(1, &[label("service", service)]);
+    }
+
+    /// Counts a call to the store that was answered.
+    pub(crate) fn store_called(&self) {
+        self.store_calls.add(1, &[]);
+    }
+
+    /// Counts a call to the store that failed.
+    pub(crate) fn store_failed(&self) {
+        self.store_failures.add(1, &[]);
+    }
+
+    /// All figures as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("event=metrics_failed error=\"{e}\"");
+        }
+        text
+    }
+}
+
+fn label(key: &'static str, name: &Name) -> KeyValue {
+    KeyValue::new(key, name.clone())
+}
--- /dev/null
+++ b/crates/forward/src/reader.rs
@@ -0,0 +1,275 @@
+//! What the store says, and when it is read.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Name, Set};
+use sapphirerack_policy::direct::{Reading, patience};
+use sapphirerack_routes::{Closing, Lapses};
+
+use crate::host::Host;
+use crate::store::Store;
+use crate::{Category, Error, Event, Item, Result};
+
+/// Time that a host which is no seed gives the others to answer before it reads the store itself
+/// at its start.
+const START_PATIENCE: Duration = Duration::from_millis(350);
+
+/// Longest time between two looks at whether held-back removals are due.
+const LONGEST_SLEEP: Duration = Duration::from_millis(400);
+
+/// Reads the store whenever what is known is older than this host's patience.
+pub(crate) async fn run(host: Rc<Host>) {
+    let address = host.settings.borrow().store;
+    let store = Store::new(address, host.dialect.store);
+    let mut reader = Reader {
+        host: host.clone(),
+        store,
+        lapses: Lapses::default(),
+        reading: Reading::default(),
+        expired: true,
+        away: false,
+    };
+    if !host.is_seed() {
+        tokio::time::sleep(START_PATIENCE.mul_f64(0.5 + fastrand::f64())).await;
+    }
+    loop {
+        reader.settle();
+        let patience = host.patience();
+        let age = host.view.borrow().age(host.now());
+        let left = age.map_or(Duration::ZERO, |age| patience.saturating_sub(age));
+        if !left.is_zero() {
+            tokio::time::sleep(left.min(LONGEST_SLEEP)).await;
+            continue;
+        }
+        if let Err(e) = reader.read().await {
+            let pause = reader.failed(&e, patience);
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+struct Reader {
+    host: Rc<Host>,
+    store: Store,
+    lapses: Lapses,
+    reading: Reading,
+    /// Whether changes since the last reading may be unknown.
+    expired: bool,
+    away: bool,
+}
+
+impl Reader {
+    async fn read(&mut self) -> Result<()> {
+        let start = self.host.now();
+        if self.expired || self.host.view.borrow().synced() == 0 {
+            self.list_all(start).await?;
+            self.expired = false;
+        } else {
+            self.changes(start).await?;
+        }
+        self.reading.succeeded();
+        if std::mem::take(&mut self.away) {
+            log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
+        }
+        Ok(())
+    }
+
+    /// Takes note that the store did not answer; tells how long to pause.
+    fn failed(&mut self, error: &Error, patience: Duration) -> Duration {
+        let now = self.host.now();
+        self.host.metrics.store_failed();
+        if error.classify() == Category::Expired {
+            log::info!("event=store_history_gone error=\"{error}\"");
+            self.expired = true;
+            return Duration::ZERO;
+        }
+        self.lapses.store_away(now);
+        if !std::mem::replace(&mut self.away, true) {
+            log::warn!("event=store_lost error=\"{error}\"");
+        }
+        self.reading.failed(patience)
+    }
+
+    /// Believes removals that were held back long enough.
+    fn settle(&mut self) {
+        let due = self.lapses.due(self.host.now());
+        if due.is_empty() {
+            return;
+        }
+        let mut view = self.host.view.borrow_mut();
+        // Told as new, so that hosts which know all before it learn of it.
+        let revision = view.synced();
+        for (id, _) in due {
+            log::info!("event=target_gone target={id} revision={revision} held=true");
+            view.registry_mut().remove(&id, revision);
+        }
+        drop(view);
+        self.host.view_changed();
+    }
+
+    async fn changes(&mut self, start: Instant) -> Result<()> {
+        let after = self.host.view.borrow().synced();
+        let mut synced = u64::MAX;
+        let mut events = Vec::new();
+        for prefix in self.host.dialect.store.prefixes {
+            let found = self.store.changes(prefix, after).await?;
+            self.host.metrics.store_called();
+            synced = synced.min(found.revision);
+            events.extend(found.events);
+        }
+        let mut changed = false;
+        for event in events {
+            changed |= self.apply(event);
+        }
+        self.host.view.borrow_mut().confirm(synced, start);
+        if changed {
+            self.host.view_changed();
+        }
+        Ok(())
+    }
+
+    async fn list_all(&mut self, start: Instant) -> Result<()> {
+        let known = self.host.view.borrow().synced() > 0;
+        if known {
+            // What vanished unseen may have lapsed.
+            self.lapses.store_away(start);
+        }
+        let mut synced = u64::MAX;
+        let mut keys: Set<String> = Set::default();
+        let mut found = Vec::new();
+        for prefix in self.host.dialect.store.prefixes {
+            let mut after: Option<String> = None;
+            loop {
+                let page = self.store.list(prefix, after.as_deref()).await?;
+                self.host.metrics.store_called();
+                synced = synced.min(page.revision);
+                after = page.items.last().map(|i| i.key.clone());
+                found.extend(page.items);
+                if !page.more || after.is_none() {
+                    break;
+                }
+            }
+        }
+        let mut targets: Set<Name> = Set::default();
+        let mut closed: Set<Name> = Set::default();
+        for event in found {
+            keys.insert(event.key.clone());
+            match self.read_item(&event) {
+                Item::Target(id, _) => drop(targets.insert(id)),
+                Item::Closing(name) => drop(closed.insert(name)),
+                _ => {}
+            }
+            self.apply(event);
+        }
+        self.drop_missing(&targets, &closed, synced, start);
+        self.host.view.borrow_mut().confirm(synced, start);
+        self.host.view_changed();
+        log::info!("event=store_listed synced={synced} keys={}", keys.len());
+        Ok(())
+    }
+
+    fn drop_missing(&mut self, targets: &Set<Name>, closed: &Set<Name>, synced: u64, now: Instant) {
+        let mut view = self.host.view.borrow_mut();
+        let listed: Vec<Name> = view.registry().listed().cloned().collect();
+        for id in listed.into_iter().filter(|id| !targets.contains(id)) {
+            if !self.lapses.hold(&id, synced, now) {
+                log::info!("event=target_gone target={id} revision={synced}");
+                view.registry_mut().remove(&id, synced);
+            }
+        }
+        let opened: Vec<Name> = view.closed().filter(|n| !closed.contains(*n)).cloned().collect();
+        for data_centre in opened {
+            log::info!("event=data_centre_opened data_centre={data_centre} revision={synced}");
+            view.close(Closing { data_centre, revision: synced, closed: false });
+        }
+    }
+
+    fn read_item(&self, event: &Event) -> Item {
+        let value = event.value.as_deref().unwrap_or_default();
+        (self.host.dialect.store.read_item)(&event.key, value)
+    }
+
+    /// Takes a change; true if it changes where requests may go.
+    fn apply(&mut self, event: Event) -> bool {
+        let now = self.host.now();
+        let revision = event.revision;
+        let gone = event.value.is_none();
+        let item = self.read_item(&event);
+        let mut view = self.host.view.borrow_mut();
+        match item {
+            Item::Configuration(configuration) if !gone => {
+                let version = configuration.version;
+                let adopted = view.adopt(configuration);
+                if adopted {
+                    log::info!("event=configuration_adopted version={version} source=store");
+                }
+                adopted
+            }
+            Item::Target(id, Some(target)) if !gone => {
+                self.lapses.announced(&id);
+                let (service, draining) = (target.service.clone(), target.draining);
+                let changed = view.registry_mut().announce(target, revision);
+                if changed {
+                    log::info!(
+                        "event=target_seen target={id} service={service} draining={draining} \
+                         revision={revision}"
+                    );
+                }
+                changed
+            }
+            Item::Target(id, _) => {
+                if gone && self.lapses.hold(&id, revision, now) {
+                    log::info!("event=target_missing target={id} revision={revision}");
+                    return false;
+                }
+                let changed = view.registry_mut().remove(&id, revision);
+                if changed {
+                    log::info!("event=target_gone target={id} revision={revision}");
+                }
+                changed
+            }
+            Item::Closing(data_centre) => {
+                let changed = view.close(Closing {
+                    data_centre: data_centre.clone(),
+                    revision,
+                    closed: !gone,
+                });
+                if changed {
+                    log::info!(
+                        "event=data_centre_closed data_centre={data_centre} closed={}",
+                        !gone
+                    );
+                }
+                changed
+            }
+            Item::Unreadable(reason) if !gone => {
+                log::warn!("event=item_unreadable key={} reason=\"{reason}\"", event.key);
+                false
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Host {
+    /// Age that the view may reach before this host reads the store.
+    fn patience(&self) -> Duration {
+        let settings = self.settings.borrow();
+        let live = self.members.borrow().live();
+        let own = &settings.name;
+        let before = live.iter().filter(|h| h.name < *own);
+        let (mut rank, mut rank_here) = (0, 0);
+        for host in before {
+            rank += 1;
+            rank_here += usize::from(host.data_centre == settings.data_centre);
+        }
+        patience(rank, rank_here)
+    }
+
+    /// Whether the others ask this host first.
+    fn is_seed(&self) -> bool {
+        let settings = self.settings.borrow();
+        settings.seeds.iter().any(|s| s.ip() == settings.listen.hosts.ip())
+    }
+}
--- /dev/null
+++ b/crates/forward/src/request.rs
@@ -0,0 +1,237 @@
+//! One request of a caller, from its route to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use sapphirerack_routes::{Action, Gather, Route, RouteTable};
+
+use crate::ask::{Attempts, ask};
+use crate::attempt::{Call, Outcome};
+use crate::client::empty;
+use crate::host::{Host, Phase};
+use crate::query::{Gathered, gather};
+
+type Reply = Response<Full<Bytes>>;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Time that is left of a deadline when the answer has to leave.
+const ANSWER_TIME: Duration = Duration::from_millis(5);
+
+/// Shortest and longest time after which a caller is asked to come back.
+const RETRY_AFTER: (f64, f64) = (0.15, 0.6);
+
+/// Time after which a caller comes back to a host that has no configuration yet, in seconds.
+const START_TIME: f64 = 0.5;
+
+/// Answers a request that came on a connection accepted or last used at `since`.
+pub(crate) async fn answer(host: Rc<Host>, request: Request<Incoming>, fresh: bool) -> Reply {
+    let start = host.now();
+    let mut reply = respond(&host, request, fresh, start).await;
+    if host.phase() == Phase::Leaving {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn respond(host: &Rc<Host>, request: Request<Incoming>, fresh: bool, start: Instant) -> Reply {
+    let table = host.view.borrow().table().clone();
+    if table.configuration().version == 0 {
+        return refuse(503, START_TIME);
+    }
+    let (head, body) = request.into_parts();
+    let name = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let name = name.or(head.uri.authority().map(|a| a.as_str())).unwrap_or_default();
+    let Some(route) = table.find(name, head.uri.path()).cloned() else {
+        log::info!("event=no_route host=\"{name}\" path=\"{}\"", head.uri.path());
+        return empty(404);
+    };
+    let Some(id) = head.headers.get(&host.dialect.headers.attempt).cloned() else {
+        return empty(400);
+    };
+    let limit = table.configuration().limits.body;
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => return empty(413),
+        Err(_) => return empty(400),
+    };
+    let wait = wait(host, &head.headers, &route);
+    let call = Rc::new(Call {
+        method: head.method,
+        uri: origin_form(head.uri),
+        headers: passed_on(&head.headers),
+        body,
+        id,
+        deadline: start + wait,
+        route: route.clone(),
+    });
+    let reply = run(host, &call, &table, fresh, start).await;
+    host.metrics.answered(&route.name, reply.status().as_u16(), host.now() - start);
+    reply
+}
+
+/// Time until the request must be answered.
+fn wait(host: &Host, headers: &HeaderMap, route: &Route) -> Duration {
+    let stated = headers.get(&host.dialect.headers.budget);
+    let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+    let wait = stated.map_or(route.timeout, |ms| route.timeout.min(Duration::from_millis(ms)));
+    wait.saturating_sub(ANSWER_TIME)
+}
+
+/// Path and query, without what proxies are sent before them.
+fn origin_form(uri: hyper::Uri) -> hyper::Uri {
+    match uri.path_and_query() {
+        Some(path) if uri.authority().is_some() => path.clone().into(),
+        _ => uri,
+    }
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    let listed = headers.get_all(header::CONNECTION);
+    let listed = listed.iter().filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    for name in listed {
+        passed.remove(name.trim());
+    }
+    for name in HOP_HEADERS {
+        passed.remove(name);
+    }
+    passed
+}
+
+async fn run(
+    host: &Rc<Host>,
+    call: &Rc<Call>,
+    table: &Arc<RouteTable>,
+    fresh: bool,
+    start: Instant,
+) -> Reply {
+    let attempts = Attempts::default();
+    let reply = match &call.route.action {
+        Action::Forward(services) => {
+            let service = host.split(&call.route, |s| s.next(services).cloned());
+            let asked = async {
+                match &service {
+                    Some(service) => ask(host, call, service, &attempts).await,
+                    None => None,
+                }
+            };
+            match tokio::time::timeout_at(call.deadline.into(), asked).await {
+                Ok(outcome) => forward_reply(host, call, outcome, &attempts),
+                Err(_) => failure(host, call, 504, "deadline", &attempts, start),
+            }
+        }
+        Action::Gather(shards) => gathered(host, call, shards, fresh, start, &attempts).await,
+    };
+    attempts.answered();
+    let _ = table;
+    reply
+}
+
+async fn gathered(
+    host: &Rc<Host>,
+    call: &Rc<Call>,
+    shards: &Gather,
+    fresh: bool,
+    start: Instant,
+    attempts: &Attempts,
+) -> Reply {
+    let distance = host.settings.borrow().queries.distance;
+    // The way here, and before that the opening of the connection.
+    let spent = if fresh { distance * 3 } else { distance };
+    let aim = start + call.route.aim.saturating_sub(spent);
+    match gather(host, call, shards, aim, attempts).await {
+        Gathered::Answer { seals, parts, body } => {
+            let names = &host.dialect.headers;
+            let mut reply = Response::new(Full::new(body));
+            let headers = reply.headers_mut();
+            headers.insert(names.parts.clone(), seals);
+            let missing = shards.shards.len() - parts;
+            headers.insert(names.missing.clone(), HeaderValue::from(missing as u64));
+            host.metrics.covered(&call.route.name, parts as f64 / shards.shards.len() as f64);
+            reply
+        }
+        Gathered::Short { .. } if !attempts.is_started() => refused(host, call, attempts),
+        Gathered::Short { parts } => {
+            let reason = format!("parts={parts}/{}", shards.shards.len());
+            let status = if host.now() >= call.deadline { 504 } else { 502 };
+            failure(host, call, status, &reason, attempts, start)
+        }
+    }
+}
+
+fn forward_reply(
+    host: &Rc<Host>,
+    call: &Call,
+    outcome: Option<Outcome>,
+    attempts: &Attempts,
+) -> Reply {
+    match outcome {
+        Some(Outcome::Answered(answer)) => {
+            let mut reply = Response::new(Full::new(answer.body));
+            *reply.status_mut() = answer.head.status;
+            *reply.headers_mut() = passed_on(&answer.head.headers);
+            reply
+        }
+        Some(Outcome::NotRun(_)) | None => refused(host, call, attempts),
+        Some(Outcome::Unknown(reason)) => {
+            failure(host, call, 502, &reason, attempts, host.now())
+        }
+    }
+}
+
+/// Refuses a request that has not run, with a time to come back that differs between callers.
+fn refused(host: &Host, call: &Call, attempts: &Attempts) -> Reply {
+    let (least, most) = RETRY_AFTER;
+    let after = least + fastrand::f64() * (most - least);
+    log_failure(host, call, 503, "not run", attempts);
+    refuse(503, after)
+}
+
+fn failure(
+    host: &Host,
+    call: &Call,
+    status: u16,
+    reason: &str,
+    attempts: &Attempts,
+    _start: Instant,
+) -> Reply {
+    log_failure(host, call, status, reason, attempts);
+    empty(status)
+}
+
+fn log_failure(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) {
+    let id = call.id.to_str().unwrap_or("?");
+    let route = &call.route.name;
+    let version = host.view.borrow().version();
+    let trail = attempts.trail();
+    log::warn!(
+        "event=request_failed id={id} route={route} status={status} reason=\"{reason}\" \
+         version={version} targets=\"{trail}\""
+    );
+}
+
+fn refuse(status: u16, after: f64) -> Reply {
+    let mut reply = empty(status);
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    if let Ok(after) = HeaderValue::from_str(&format!("{after:.3}")) {
+        reply.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/forward/src/serve.rs
@@ -0,0 +1,131 @@
+//! Starts and stops all parts.
+
+use std::fs;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use sapphirerack_policy::{Clock, Host as HostName, Membership, Timing};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::host::Host;
+use crate::metrics::Metrics;
+use crate::{Dialect, Error, Result, Settings, caller, from_text, peers, reader, ready};
+
+/// Time between two looks at the file of settings, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time without an answer after which another host is suspected to have failed.
+const SUSPICION: Duration = Duration::from_millis(1_200);
+
+/// Runs a host until it is told to stop and has finished what it had.
+///
+/// # Errors
+///
+/// The runtime can't be started, or an address can't be listened on.
+pub fn serve(
+    settings: Settings,
+    path: &Path,
+    dialect: Dialect,
+    clock: Arc<dyn Clock>,
+) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Error::io("start runtime", "process", e))?;
+    LocalSet::new().block_on(&runtime, run(settings, path, dialect, clock))
+}
+
+async fn run(
+    settings: Settings,
+    path: &Path,
+    dialect: Dialect,
+    clock: Arc<dyn Clock>,
+) -> Result<()> {
+    let listen = settings.listen.clone();
+    let callers = bind(listen.callers).await?;
+    let asking = bind(listen.ready).await?;
+    let hosts = bind(listen.hosts).await?;
+    let datagrams = UdpSocket::bind(listen.hosts).await;
+    let datagrams = datagrams.map_err(|e| Error::io("listen", listen.hosts, e))?;
+    let mut stop = listen_signal(SignalKind::terminate())?;
+    let reload = listen_signal(SignalKind::hangup())?;
+    let members = membership(&settings, &*clock);
+    let name = settings.name.clone();
+    log::info!("event=start host={name} data_centre={}", settings.data_centre);
+    let host = Rc::new(Host::new(settings, dialect, clock, Metrics::new()?, members));
+    let callers = spawn_local(caller::accept(host.clone(), callers));
+    spawn_local(ready::accept(host.clone(), asking));
+    spawn_local(peers::accept(host.clone(), hosts));
+    spawn_local(peers::run(host.clone(), datagrams));
+    spawn_local(reader::run(host.clone()));
+    spawn_local(follow_settings(host.clone(), path.to_owned(), reload));
+    stop.recv().await;
+    log::info!("event=stop host={name} reason=signal");
+    host.leave();
+    callers.await.map_err(|e| Error::io("stop", "process", e.into()))
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| Error::io("listen", address, e))
+}
+
+fn listen_signal(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|e| Error::io("wait for signals", "process", e))
+}
+
+fn membership(settings: &Settings, clock: &dyn Clock) -> Membership {
+    let own = HostName {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.listen.hosts,
+    };
+    let timing =
+        Timing { interval: peers::INTERVAL, suspicion: SUSPICION, ..Timing::default() };
+    let mut members =
+        Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
+    members.set_seeds(seeds(settings));
+    members
+}
+
+/// Addresses for other hosts of the seeds; all hosts use the same port.
+fn seeds(settings: &Settings) -> Vec<std::net::SocketAddr> {
+    let port = settings.listen.hosts.port();
+    let own = settings.listen.hosts.ip();
+    let others = settings.seeds.iter().filter(|s| s.ip() != own);
+    others.map(|s| (s.ip(), port).into()).collect()
+}
+
+/// Reads the settings again when they change, with or without a signal.
+async fn follow_settings(host: Rc<Host>, path: std::path::PathBuf, mut reload: Signal) {
+    let mut last = modified(&path);
+    loop {
+        let told = tokio::time::timeout(SETTINGS_INTERVAL, reload.recv()).await.is_ok();
+        let now = modified(&path);
+        if !told && now == last {
+            continue;
+        }
+        last = now;
+        match fs::read_to_string(&path).map_err(|e| e.to_string()).and_then(|text| {
+            from_text(&text).map_err(|e| e.to_string())
+        }) {
+            Ok(settings) => {
+                host.members.borrow_mut().set_seeds(seeds(&settings));
+                let changed = *host.settings.borrow() != settings;
+                log::info!("event=reload changed={changed}");
+                let mut own = host.settings.borrow_mut();
+                own.seeds = settings.seeds;
+                own.bounds = settings.bounds;
+                own.stop = settings.stop;
+                own.queries = settings.queries;
+            }
+            Err(e) => log::warn!("event=reload_failed error=\"{e}\""),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|m| m.modified()).ok()
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,137 @@
+//! What an operator sets for one host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphirerack_catalogue::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, Result};
+
+/// Settings of one host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of the host.
+    pub name: Name,
+    /// Data centre in which the host stands.
+    pub data_centre: Name,
+    /// Addresses that the host listens on.
+    pub listen: Listen,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Hosts to ask first; the port is that of `listen.hosts`, whatever stands here.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// What all hosts together may do.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// Planned stops.
+    #[serde(default)]
+    pub stop: Stop,
+    /// How queries are run.
+    #[serde(default)]
+    pub queries: Queries,
+    /// Log level: off, error, warn, info, debug or trace.
+    #[serde(default = "default_log")]
+    pub log: Name,
+}
+
+/// Addresses that a host listens on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Readiness and metrics.
+    pub ready: SocketAddr,
+    /// Other hosts: datagrams, and TCP on the same port.
+    pub hosts: SocketAddr,
+}
+
+/// What all hosts together may do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Extra requests (hedges and retries) to a service, as a share of its requests.
+    pub extra: f64,
+    /// Extra requests to a service beyond that share, in any window.
+    pub slack: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { extra: 0.1, slack: 20.0 }
+    }
+}
+
+/// Planned stops.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Stop {
+    /// Time for which new connections are still accepted, so that the balancer turns away first.
+    #[serde(with = "humantime_serde")]
+    pub linger: Duration,
+    /// Time after which every request is answered and the process ends, in whole seconds.
+    pub grace: u64,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { linger: Duration::from_millis(2_800), grace: 6 }
+    }
+}
+
+/// How queries are run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Queries {
+    /// Delay of the network between callers and hosts, one way.
+    #[serde(with = "humantime_serde")]
+    pub distance: Duration,
+}
+
+impl Default for Queries {
+    fn default() -> Self {
+        Self { distance: Duration::from_millis(3) }
+    }
+}
+
+fn default_log() -> Name {
+    "info".into()
+}
+
+/// Reads settings from JSON with comments and checks them.
+///
+/// # Errors
+///
+/// Syntax errors with line and column; broken rules with the path to the field.
+pub fn from_text(text: &str) -> Result<Settings> {
+    let reader = json_comments::StripComments::new(text.as_bytes());
+    let settings: Settings = serde_json::from_reader(reader).map_err(Error::syntax)?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &Settings) -> Result<()> {
+    for (field, value) in [("name", &settings.name), ("data_centre", &settings.data_centre)] {
+        if value.is_empty() {
+            return Err(Error::rule(format!("{field}: empty, expected a name")));
+        }
+    }
+    let Bounds { extra, slack } = settings.bounds;
+    if !(0.0..=1.0).contains(&extra) {
+        return Err(Error::rule(format!("bounds.extra: {extra}, expected 0 to 1")));
+    }
+    if !slack.is_finite() || slack < 0.0 {
+        return Err(Error::rule(format!("bounds.slack: {slack}, expected 0 or more")));
+    }
+    if settings.stop.grace < 2 {
+        return Err(Error::rule("stop.grace: expected 2 seconds or more".into()));
+    }
+    if settings.log.parse::<log::LevelFilter>().is_err() {
+        let found = &settings.log;
+        return Err(Error::rule(format!("log: {found:?}, expected a level such as \"info\"")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/forward/src/store.rs
@@ -0,0 +1,82 @@
+//! Calls to the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
+
+use crate::client::Connection;
+use crate::{Error, Events, Page, Result, StoreDialect};
+
+/// Time after which a call is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Client of the store, with one connection.
+pub(crate) struct Store {
+    address: SocketAddr,
+    dialect: StoreDialect,
+    connection: Option<Connection>,
+}
+
+impl Store {
+    pub(crate) fn new(address: SocketAddr, dialect: StoreDialect) -> Self {
+        Self { address, dialect, connection: None }
+    }
+
+    /// One page of the items of a prefix.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, refused, or its answer can't be read.
+    pub(crate) async fn list(&mut self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        let body = self.get("list", (self.dialect.list)(prefix, after)).await?;
+        (self.dialect.read_list)(&body).map_err(|e| Error::malformed("list", self.address, e))
+    }
+
+    /// Changes of a prefix after a revision, without waiting for one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::list`]; [`crate::Category::Expired`] if the changes are not kept any more.
+    pub(crate) async fn changes(&mut self, prefix: &str, after: u64) -> Result<Events> {
+        let body = self.get("watch", (self.dialect.watch)(prefix, after, Duration::ZERO)).await?;
+        (self.dialect.read_watch)(&body).map_err(|e| Error::malformed("watch", self.address, e))
+    }
+
+    async fn get(&mut self, step: &'static str, path: String) -> Result<Bytes> {
+        // An answer that came too late must not be taken for the next one.
+        let connection = self.connection.take();
+        let answered = tokio::time::timeout(CALL_TIMEOUT, self.call(step, path, connection)).await;
+        answered.map_err(|_| Error::timeout(step, self.address))?
+    }
+
+    async fn call(
+        &mut self,
+        step: &'static str,
+        path: String,
+        kept: Option<Connection>,
+    ) -> Result<Bytes> {
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => Connection::open(self.address).await?,
+        };
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() =
+            path.parse().map_err(|_| Error::malformed(step, self.address, path))?;
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let answer = connection.send(request).await;
+        let answer = answer.map_err(|e| Error::malformed(step, self.address, e.reason))?;
+        match answer.head.status.as_u16() {
+            200 => {
+                self.connection = connection.is_open().then_some(connection);
+                Ok(answer.body)
+            }
+            status => Err(Error::status(step, self.address, status)),
+        }
+    }
+}
--- a/crates/host/src/bookings.rs
+++ b/crates/host/src/bookings.rs
@@ -14,7 +14,7 @@
 
 use sapphirerack_catalogue::Name;
 use sapphirerack_http::{Request, Response};
-use sapphirerack_platform::Store;
+use sapphirerack_clients::Store;
 use sapphirerack_policy::booking::{KeyId, Runner, Verdict};
 use sapphirerack_policy::{Clock, rank};
 use sapphirerack_protocol::{Booking, Reply, Request as HostRequest};
--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
-use sapphirerack_platform::Store;
+use sapphirerack_clients::Store;
 use sapphirerack_protocol::{Reply, Request};
 use sapphirerack_repository::{HEAD_KEY, Head, InForce, Rejection, Repository};
 
--- a/crates/host/src/errand.rs
+++ b/crates/host/src/errand.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirerack_platform::{Book, TargetClient};
+use sapphirerack_clients::{Book, TargetClient};
 use sapphirerack_policy::Clock;
 use sapphirerack_policy::booking::Ended;
 use sapphirerack_protocol::Claimed;
--- a/crates/host/src/lanes.rs
+++ b/crates/host/src/lanes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::{Name, Span, Target};
-use sapphirerack_platform::{Error, Found, Health, Search, TargetClient};
+use sapphirerack_clients::{Error, Found, Health, Search, TargetClient};
 use sapphirerack_policy::booking::Ended;
 use sapphirerack_policy::{Clock, Outcome};
 use sapphirerack_protocol::SubQuery;
@@ -170,7 +170,7 @@
 }
 
 fn refused(error: &Error) -> Ending {
-    use sapphirerack_platform::Category;
+    use sapphirerack_clients::Category;
     log::debug!("step=search error={error:?}");
     match error.classify() {
         _ if error.status() == Some(CONFLICT) => Ending::failed(Outcome::NoSnapshot, "no snapshot"),
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Name;
-use sapphirerack_platform::{HostState, Store};
+use sapphirerack_clients::{HostState, Store};
 use sapphirerack_policy::{Clock, Host, Membership, Outgoing, Repair, Timing, rank};
 use sapphirerack_protocol::{Datagram, Liveness, Peer};
 
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_http::Server;
-use sapphirerack_platform::Store;
+use sapphirerack_clients::Store;
 use sapphirerack_policy::{Clock, SystemClock, Timing};
 use sapphirerack_repository::Repository;
 
--- a/crates/host/src/spans.rs
+++ b/crates/host/src/spans.rs
@@ -4,7 +4,7 @@
 //! is believed if the shard has a single replica, or if two replicas name the same one.
 
 use sapphirerack_catalogue::{Map, Name, Span};
-use sapphirerack_platform::Found;
+use sapphirerack_clients::Found;
 use sapphirerack_policy::SnapshotId;
 
 /// Snapshots that are remembered.
--- a/crates/host/src/store_log.rs
+++ b/crates/host/src/store_log.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use sapphirerack_platform::{Category, Store};
+use sapphirerack_clients::{Category, Store};
 use sapphirerack_policy::booking::{Event, Found, Segment, Written};
 
 use crate::claims::Input;
--- a/crates/lab/src/fake_peers.rs
+++ b/crates/lab/src/fake_peers.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use sapphirerack_catalogue::Name;
-use sapphirerack_platform::{HostEntry, HostState};
+use sapphirerack_clients::{HostEntry, HostState};
 use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Catalogue, Name};
-use sapphirerack_platform::HostEntry;
+use sapphirerack_clients::HostEntry;
 use serde_json::Value;
 
 use crate::network::Network;
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -5,7 +5,7 @@
 //! hosts tell each other their own addresses, so that it would pass a relay by.
 
 use sapphirerack_catalogue::{Map, Name};
-use sapphirerack_platform::HostEntry;
+use sapphirerack_clients::HostEntry;
 
 use crate::fleet::LOOPBACK;
 use crate::relay::Relay;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Name, key_hash};
-use sapphirerack_platform::{HostEntry, HostState};
+use sapphirerack_clients::{HostEntry, HostState};
 use serde_json::{Value, json};
 
 /// Key of every member in the lab.
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -13,7 +13,7 @@
 use fastrand::Rng;
 use sapphirerack_catalogue::Map;
 use sapphirerack_http::{Method, Request};
-use sapphirerack_platform::HostEntry;
+use sapphirerack_clients::HostEntry;
 use tokio::sync::watch;
 
 use crate::server::{Gate, Listener, Reply};
--- a/crates/lab/tests/store.rs
+++ b/crates/lab/tests/store.rs
@@ -5,7 +5,7 @@
 
 use sapphirerack_lab::fleet::LOOPBACK;
 use sapphirerack_lab::store::StoreServer;
-use sapphirerack_platform::{Category, HostEntry, HostState, Store};
+use sapphirerack_clients::{Category, HostEntry, HostState, Store};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
--- /dev/null
+++ b/crates/policy/src/direct/balance.rs
@@ -0,0 +1,156 @@
+//! Which target of a service gets a request, and whether a second one may be asked.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_routes::Target;
+
+use super::cold::ColdLimit;
+use super::replica::{Ending, Replica, Ticket};
+use crate::Budget;
+
+/// Part of the permitted extra requests that is used.
+const EXTRA_USED: f64 = 0.8;
+
+/// What one host may do of what all hosts together may.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shares {
+    /// Hosts that share the limits.
+    pub hosts: usize,
+    /// Extra requests (hedges and retries) a service gets, as a share of its requests.
+    pub extra: f64,
+    /// Extra requests that a service gets beyond that share, from all hosts together.
+    pub slack: f64,
+}
+
+/// A target that was chosen for a request.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The target.
+    pub target: Arc<Target>,
+    /// To be given back when the request ends.
+    pub ticket: Ticket,
+}
+
+/// The targets of one service.
+#[derive(Debug)]
+pub struct Balance {
+    replicas: Vec<Replica>,
+    cold: Map<Name, ColdLimit>,
+    cold_rate: f64,
+    budget: Budget,
+    shares: Shares,
+    tickets: u64,
+}
+
+impl Balance {
+    /// A service without targets.
+    pub fn new(shares: Shares) -> Self {
+        Self {
+            replicas: Vec::new(),
+            cold: Map::default(),
+            cold_rate: 0.0,
+            budget: budget(shares),
+            shares,
+            tickets: 0,
+        }
+    }
+
+    /// Takes the usable targets, and the requests a second that a cold one bears (0: unlimited).
+    pub fn update(&mut self, targets: &[Arc<Target>], home: &str, cold_rate: f64, now: Instant) {
+        self.cold_rate = cold_rate;
+        let same = |a: &Target, b: &Target| a.id == b.id && a.born == b.born;
+        let mut replicas = Vec::with_capacity(targets.len());
+        for target in targets {
+            let known = self.replicas.iter().position(|r| same(r.target(), target));
+            let replica = match known {
+                Some(at) => {
+                    let mut replica = self.replicas.swap_remove(at);
+                    replica.update(target.clone(), now);
+                    replica
+                }
+                None => Replica::new(target.clone(), &*target.data_centre == home, now),
+            };
+            replicas.push(replica);
+        }
+        self.replicas = replicas;
+        let ids: Vec<Name> = self.replicas.iter().map(|r| r.target().id.clone()).collect();
+        self.cold.retain(|id, _| ids.contains(id));
+    }
+
+    /// Takes changed shares.
+    pub fn set_shares(&mut self, shares: Shares) {
+        if shares != self.shares {
+            self.shares = shares;
+            self.budget = budget(shares);
+        }
+    }
+
+    /// The targets.
+    pub fn replicas(&self) -> &[Replica] {
+        &self.replicas
+    }
+
+    /// Chooses the target that is expected to answer first, but for those in `tried`.
+    ///
+    /// `usual` and `overdue` are the times in which the answer is expected and after which it is
+    /// overdue.
+    pub fn choose(
+        &mut self,
+        tried: &[Name],
+        usual: Duration,
+        overdue: Duration,
+        now: Instant,
+    ) -> Option<Choice> {
+        let mut order: Vec<(f64, usize)> = Vec::with_capacity(self.replicas.len());
+        for (at, replica) in self.replicas.iter().enumerate() {
+            if !tried.contains(&replica.target().id) {
+                // Breaks ties at random, so that hosts don't all choose the same target.
+                let jitter = fastrand::f64() * 0.05;
+                order.push((replica.cost(now) + jitter, at));
+            }
+        }
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let at = order.into_iter().map(|(_, at)| at).find(|at| self.admits(*at, now))?;
+        self.tickets += 1;
+        let replica = &mut self.replicas[at];
+        let ticket = replica.start(self.tickets, usual, overdue, now);
+        Some(Choice { target: replica.target().clone(), ticket })
+    }
+
+    fn admits(&mut self, at: usize, now: Instant) -> bool {
+        let replica = &self.replicas[at];
+        if self.cold_rate <= 0.0 || !replica.is_cold(now) {
+            return true;
+        }
+        let limit = self.cold.entry(replica.target().id.clone()).or_default();
+        limit.take(self.cold_rate, self.shares.hosts, now)
+    }
+
+    /// Takes note of the end of a request; its latency, unless the target has gone meanwhile.
+    pub fn end(&mut self, choice: &Choice, ending: Ending, now: Instant) -> Option<Duration> {
+        let replica = self.replicas.iter_mut().find(|r| r.target().id == choice.target.id)?;
+        replica.end(choice.ticket, ending, now)
+    }
+
+    /// Earns extra requests by a request of a caller.
+    pub fn earn(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Takes leave for a second request because the first is slow.
+    pub fn may_hedge(&mut self) -> bool {
+        self.budget.hedge()
+    }
+
+    /// Takes leave for a second request because the first has failed.
+    pub fn may_retry(&mut self) -> bool {
+        self.budget.retry()
+    }
+}
+
+fn budget(shares: Shares) -> Budget {
+    let burst = shares.slack * EXTRA_USED / shares.hosts.max(1) as f64;
+    Budget::new(shares.extra * EXTRA_USED, burst.max(1.0))
+}
--- /dev/null
+++ b/crates/policy/src/direct/mod.rs
@@ -0,0 +1,24 @@
+//! Decisions of a host that talks to targets itself, by its own view of them.
+//!
+//! - `replica`: one target as this host sees it
+//! - `balance`: which target of a service gets a request, and when a second one is asked
+//! - `typical`: usual latency of a route
+//! - `split`: which service of a weighted route gets a request
+//! - `cutoff`: when a scattered query is answered
+//! - `readers`: which hosts read the store
+
+mod balance;
+mod cold;
+mod cutoff;
+mod readers;
+mod replica;
+mod split;
+mod typical;
+
+pub use balance::{Balance, Choice, Shares};
+pub use cold::ColdLimit;
+pub use cutoff::{Cutoff, Decision};
+pub use readers::{Reading, patience};
+pub use replica::{Ending, Replica, Ticket};
+pub use split::Split;
+pub use typical::Typical;
--- /dev/null
+++ b/crates/policy/src/direct/replica.rs
@@ -0,0 +1,191 @@
+//! One target as this host sees it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_routes::Target;
+
+/// Weight of a new latency in a target's slowness.
+const GAIN: f64 = 0.3;
+
+/// Bounds of one observation of the slowness.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.2..=30.0;
+
+/// Time after which half of what was observed of a target is forgotten.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+/// How much a target that fails all its requests counts as slower.
+const FAILURE_WEIGHT: f64 = 25.0;
+
+/// How much a target that is silent beyond its usual time counts as slower.
+const SILENCE_WEIGHT: f64 = 40.0;
+
+/// How much a request that is already there counts as slower.
+const LOAD_WEIGHT: f64 = 0.6;
+
+/// How much a target in another data centre counts as slower.
+const DISTANCE_WEIGHT: f64 = 0.5;
+
+/// A request in hand at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket(u64);
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With a good answer.
+    Answered,
+    /// The target refused it as not run.
+    Refused,
+    /// With an error, a broken connection or an answer that can't be used.
+    Failed,
+    /// The caller needs it no more.
+    Cancelled,
+    /// It was never sent; nothing was learnt.
+    Unsent,
+}
+
+#[derive(Debug)]
+struct Held {
+    ticket: Ticket,
+    since: Instant,
+    usual: Duration,
+    overdue: Duration,
+}
+
+/// One target with what was observed of it.
+#[derive(Debug)]
+pub struct Replica {
+    target: Arc<Target>,
+    local: bool,
+    held: Vec<Held>,
+    slowness: f64,
+    failing: f64,
+    observed: Instant,
+    heard: Instant,
+    cold_until: Instant,
+}
+
+impl Replica {
+    /// A target of which nothing was observed yet.
+    pub fn new(target: Arc<Target>, local: bool, now: Instant) -> Self {
+        let cold_until = now + target.cold;
+        let (held, slowness, failing) = (Vec::new(), 1.0, 0.0);
+        Self { target, local, held, slowness, failing, observed: now, heard: now, cold_until }
+    }
+
+    /// The target.
+    pub fn target(&self) -> &Arc<Target> {
+        &self.target
+    }
+
+    /// Address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.target.address
+    }
+
+    /// Requests of this host that are in hand there.
+    pub fn load(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether the target is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Takes a newer announcement of the same run.
+    pub fn update(&mut self, target: Arc<Target>, now: Instant) {
+        if !target.cold.is_zero() {
+            self.cold_until = now + target.cold;
+        }
+        self.target = target;
+    }
+
+    /// Takes note of a request that is sent; `id` is unique within the service.
+    pub(super) fn start(
+        &mut self,
+        id: u64,
+        usual: Duration,
+        overdue: Duration,
+        now: Instant,
+    ) -> Ticket {
+        let ticket = Ticket(id);
+        self.held.push(Held { ticket, since: now, usual, overdue });
+        ticket
+    }
+
+    /// Takes note of the end of a request; its latency if the ticket was in hand.
+    pub(super) fn end(&mut self, ticket: Ticket, ending: Ending, now: Instant) -> Option<Duration> {
+        let at = self.held.iter().position(|h| h.ticket == ticket)?;
+        let held = self.held.swap_remove(at);
+        let latency = now.saturating_duration_since(held.since);
+        match ending {
+            Ending::Answered => {
+                self.heard = now;
+                self.observe(latency, held.usual, 0.0, now);
+            }
+            Ending::Refused | Ending::Failed => {
+                self.heard = now;
+                self.fail(now);
+            }
+            // It would have taken at least as long as this.
+            Ending::Cancelled if latency > held.overdue => {
+                let failing = self.failing;
+                self.observe(latency, held.usual, failing, now);
+            }
+            Ending::Cancelled | Ending::Unsent => {}
+        }
+        Some(latency)
+    }
+
+    fn observe(&mut self, latency: Duration, usual: Duration, failing: f64, now: Instant) {
+        let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+        let ratio = ratio.clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        let (slowness, before) = (self.slowness(now), self.failing(now));
+        // A sudden change shows in full; an average would send more requests into it.
+        let gain = if ratio > slowness * 3.0 { 0.7 } else { GAIN };
+        self.slowness = slowness + gain * (ratio - slowness);
+        self.failing = before + GAIN * (failing - before);
+        self.observed = now;
+    }
+
+    fn fail(&mut self, now: Instant) {
+        let (slowness, failing) = (self.slowness(now), self.failing(now));
+        self.slowness = slowness;
+        self.failing = failing + GAIN * (1.0 - failing);
+        self.observed = now;
+    }
+
+    fn kept(&self, now: Instant) -> f64 {
+        let idle = now.saturating_duration_since(self.observed);
+        0.5_f64.powf(idle.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    fn slowness(&self, now: Instant) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.kept(now)
+    }
+
+    fn failing(&self, now: Instant) -> f64 {
+        self.failing * self.kept(now)
+    }
+
+    /// Whether a request in hand is overdue and the target has answered nothing since it was sent.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.held.iter().any(|h| now > h.since + h.overdue && self.heard <= h.since)
+    }
+
+    /// How much slower than usual a new request is expected to be; comparable between targets.
+    pub fn cost(&self, now: Instant) -> f64 {
+        let mut cost = self.slowness(now) * (1.0 + LOAD_WEIGHT * self.load() as f64);
+        cost *= 1.0 + FAILURE_WEIGHT * self.failing(now);
+        if !self.local {
+            cost += DISTANCE_WEIGHT;
+        }
+        if self.is_silent(now) {
+            cost += SILENCE_WEIGHT;
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/policy/src/direct/split.rs
@@ -0,0 +1,30 @@
+//! Which service of a weighted route gets a request.
+
+use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_routes::Weighted;
+
+/// Smooth weighted round robin: shares are kept over any few requests, not just on average.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    credit: Map<Name, f64>,
+}
+
+impl Split {
+    /// Service for the next request; `None` if there are none.
+    pub fn next<'a>(&mut self, services: &'a [Weighted]) -> Option<&'a Name> {
+        if let [only] = services {
+            return Some(&only.service);
+        }
+        let total: f64 = services.iter().map(|w| w.weight).sum();
+        for weighted in services {
+            *self.credit.entry(weighted.service.clone()).or_default() += weighted.weight;
+        }
+        let credit = |w: &Weighted| self.credit.get(&w.service).copied().unwrap_or_default();
+        let usable = services.iter().filter(|w| w.weight > 0.0);
+        let best = usable.max_by(|a, b| credit(a).total_cmp(&credit(b)))?;
+        if let Some(credit) = self.credit.get_mut(&best.service) {
+            *credit -= total;
+        }
+        Some(&best.service)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `budget`: the budget for hedges and retries
 //! - `clock`: the time as an interface
 //! - `coverage`: which partitions an answer holds
+//! - `direct`: decisions of a host that talks to targets itself, for opaque requests
 //! - `dispatch`: which job the owner sends to which target
 //! - `group`: the owner of a group of replicas, as a state machine
 //! - `job`: what goes into the owner of a group and what comes out
@@ -45,6 +46,7 @@
 mod budget;
 mod clock;
 mod coverage;
+pub mod direct;
 mod dispatch;
 mod event;
 pub mod evidence;
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -1,5 +1,8 @@
 //! Encoding, and cutting a stream into messages.
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
 use crate::{Error, Message, Result};
 
 /// Largest message, in bytes.
@@ -13,6 +16,15 @@
 ///
 /// The message exceeds [`FRAME_LIMIT`].
 pub fn encode(message: &Message) -> Result<Vec<u8>> {
+    to_frame(message)
+}
+
+/// Encodes anything as a frame.
+///
+/// # Errors
+///
+/// The message exceeds [`FRAME_LIMIT`].
+pub fn to_frame<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let mut frame = postcard::to_extend(message, vec![0; PREFIX]).map_err(Error::postcard)?;
     let len = frame.len() - PREFIX;
     if len > FRAME_LIMIT {
@@ -22,6 +34,15 @@
     Ok(frame)
 }
 
+/// Decodes what stands in a frame after its length.
+///
+/// # Errors
+///
+/// The bytes are not such a message.
+pub fn from_body<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    postcard::from_bytes(body).map_err(Error::postcard)
+}
+
 /// Cuts received bytes into messages.
 #[derive(Debug, Default)]
 pub struct Decoder {
@@ -55,7 +76,7 @@
         let Some(body) = rest.get(..len) else {
             return Ok(None);
         };
-        let message = postcard::from_bytes(body).map_err(Error::postcard)?;
+        let message = from_body(body)?;
         self.read += PREFIX + len;
         Ok(Some(message))
     }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Modules
 //!
 //! - `booking`: requests that run at most once
+//! - `exchange`: routes, targets and hosts, between hosts that forward requests
 //! - `message`: envelopes of what hosts say to each other
 //! - `search`: sub-queries and their outcomes
 //! - `gossip`: datagrams at intervals
@@ -23,6 +24,7 @@
 
 mod booking;
 mod error;
+mod exchange;
 mod frame;
 mod gossip;
 mod message;
@@ -30,7 +32,8 @@
 
 pub use crate::booking::{Booking, Claimed, Ended, Verdict};
 pub use crate::error::{Category, Error, Result};
-pub use crate::frame::{Decoder, FRAME_LIMIT, encode};
+pub use crate::exchange::{Ask, Reported};
+pub use crate::frame::{Decoder, FRAME_LIMIT, encode, from_body, to_frame};
 pub use crate::gossip::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose, Summary, Topic};
 pub use crate::message::{Message, Reply, Request};
 pub use crate::search::{Failure, Part, SubQuery, SubReply};
--- a/crates/repository/src/change.rs
+++ b/crates/repository/src/change.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::{Catalogue, Name};
-use sapphirerack_platform::{Category, Error};
+use sapphirerack_clients::{Category, Error};
 use sapphirerack_policy::Clock;
 
 use crate::head::{HEAD_KEY, Head, Recent, part_key};
--- a/crates/repository/src/store.rs
+++ b/crates/repository/src/store.rs
@@ -1,6 +1,6 @@
 //! The store as an interface.
 
-use sapphirerack_platform::{Result, Store, Value};
+use sapphirerack_clients::{Result, Store, Value};
 
 /// A key-value store with compare-and-swap.
 pub trait KeyValue: Send + Sync {
--- a/crates/repository/tests/fake/mod.rs
+++ b/crates/repository/tests/fake/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Catalogue, Map};
-use sapphirerack_platform::{Category, Error, Result, Value};
+use sapphirerack_clients::{Category, Error, Result, Value};
 use sapphirerack_policy::Clock;
 use sapphirerack_repository::{HEAD_KEY, Head, KeyValue, Part, Snapshot, part_key};
 
--- /dev/null
+++ b/crates/routes/src/change.rs
@@ -0,0 +1,45 @@
+//! What hosts tell each other of the view.
+
+use sapphirerack_catalogue::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{Configuration, Target};
+
+/// The last change of one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Id of the target.
+    pub id: Name,
+    /// Revision of the change.
+    pub revision: u64,
+    /// Its last announcement, if one was readable.
+    pub target: Option<Target>,
+    /// Whether it is announced now.
+    pub listed: bool,
+}
+
+/// The last change of a data centre's closing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Closing {
+    /// The data centre.
+    pub data_centre: Name,
+    /// Revision of the change.
+    pub revision: u64,
+    /// Whether its targets get no new requests.
+    pub closed: bool,
+}
+
+/// What a host knows beyond another.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Configuration, if the other's is older.
+    pub configuration: Option<Configuration>,
+    /// Changed targets.
+    pub targets: Vec<Change>,
+    /// Data centres that were closed or opened.
+    pub closings: Vec<Closing>,
+    /// Revision of the store up to which all of this is known.
+    pub synced: u64,
+    /// Age of that knowledge, in milliseconds.
+    pub age: u64,
+}
--- /dev/null
+++ b/crates/routes/src/registry.rs
@@ -0,0 +1,114 @@
+//! All targets, and which announcement wins.
+//!
+//! Announcements and removals carry the revision at which the store took them. An announcement
+//! that the target made earlier than the one that is known is ignored whatever its revision: a
+//! write that was delayed must not bring back a target that drains or has gone.
+
+use std::sync::Arc;
+
+use sapphirerack_catalogue::{Map, Name};
+
+use crate::{Change, Target};
+
+/// All targets that were ever announced, also those that have gone.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: Map<Name, Entry>,
+    revision: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    last: Option<Arc<Target>>,
+    listed: bool,
+    revision: u64,
+}
+
+impl Registry {
+    /// Revision of the last change that mattered.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Announced targets, those that drain among them.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.entries.values().filter(|e| e.listed).filter_map(|e| e.last.as_ref())
+    }
+
+    /// Ids that are announced.
+    pub fn listed(&self) -> impl Iterator<Item = &Name> {
+        self.entries.iter().filter(|(_, e)| e.listed).map(|(id, _)| id)
+    }
+
+    /// Takes an announcement; true if it changes where requests may go.
+    pub fn announce(&mut self, target: Target, revision: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(&target.id) else {
+            let id = target.id.clone();
+            let entry = Entry { last: Some(Arc::new(target)), listed: true, revision };
+            self.entries.insert(id, entry);
+            self.revision = self.revision.max(revision);
+            return true;
+        };
+        if revision <= entry.revision {
+            return false;
+        }
+        let mut target = target;
+        if let Some(last) = &entry.last {
+            if !target.is_newer(last) {
+                return false;
+            }
+            // A run that drains never takes work again.
+            target.draining |= last.draining && last.born == target.born;
+        }
+        let same = entry.listed && entry.last.as_ref().is_some_and(|last| last.says_same(&target));
+        entry.last = Some(Arc::new(target));
+        if same {
+            return false;
+        }
+        entry.listed = true;
+        entry.revision = revision;
+        self.revision = self.revision.max(revision);
+        true
+    }
+
+    /// Takes the removal of an entry, or one that can't be used; true if the target was announced.
+    pub fn remove(&mut self, id: &Name, revision: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
+        if revision <= entry.revision || !entry.listed {
+            return false;
+        }
+        entry.listed = false;
+        entry.revision = revision;
+        self.revision = self.revision.max(revision);
+        true
+    }
+
+    /// Changes after a revision, for a host that knows all up to it.
+    pub fn since(&self, revision: u64) -> Vec<Change> {
+        let later = self.entries.iter().filter(|(_, e)| e.revision > revision);
+        let change = |(id, entry): (&Name, &Entry)| Change {
+            id: id.clone(),
+            revision: entry.revision,
+            target: entry.last.as_deref().cloned(),
+            listed: entry.listed,
+        };
+        later.map(change).collect()
+    }
+
+    /// Takes a change from another host; true if it changes where requests may go.
+    pub fn merge(&mut self, change: Change) -> bool {
+        let Change { id, revision, target, listed } = change;
+        if listed {
+            return target.is_some_and(|t| self.announce(t, revision));
+        }
+        let known = self.entries.contains_key(&id);
+        if !known && target.is_some() {
+            // Remembered, so that a delayed announcement does not bring it back.
+            let last = target.map(Arc::new);
+            self.entries.insert(id, Entry { last, listed: false, revision });
+            self.revision = self.revision.max(revision);
+            return false;
+        }
+        self.remove(&id, revision)
+    }
+}
--- /dev/null
+++ b/crates/routes/src/view.rs
@@ -0,0 +1,171 @@
+//! What a host knows: configuration, registry, closed data centres.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_catalogue::{Map, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::{Closing, Configuration, Delta, Registry, RouteTable, Target};
+
+/// Summary of a view, by which another host sees whether it misses something.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// Version of the configuration; 0 for none.
+    pub version: u64,
+    /// Revision of the last change of targets or closings.
+    pub content: u64,
+    /// Revision of the store up to which all is known.
+    pub synced: u64,
+    /// Age of that knowledge, in milliseconds.
+    pub age: u64,
+}
+
+/// What a host knows, and since when it is sure of it.
+#[derive(Debug, Default)]
+pub struct View {
+    table: Arc<RouteTable>,
+    registry: Registry,
+    closings: Map<Name, (u64, bool)>,
+    closed: u64,
+    synced: u64,
+    confirmed: Option<Instant>,
+}
+
+impl View {
+    /// Routes in force.
+    pub fn table(&self) -> &Arc<RouteTable> {
+        &self.table
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.table.configuration().version
+    }
+
+    /// Revision of the store up to which all is known.
+    pub fn synced(&self) -> u64 {
+        self.synced
+    }
+
+    /// When the store last confirmed the view, through this host or another.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
+    /// Targets.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Targets, to be changed.
+    pub fn registry_mut(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
+    /// Targets that may get new requests.
+    pub fn usable(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let open = |t: &&Arc<Target>| !t.draining && !self.is_closed(&t.data_centre);
+        self.registry.targets().filter(open)
+    }
+
+    /// Whether the targets of a data centre get no new requests.
+    pub fn is_closed(&self, data_centre: &str) -> bool {
+        self.closings.get(data_centre).is_some_and(|(_, closed)| *closed)
+    }
+
+    /// Data centres that are closed.
+    pub fn closed(&self) -> impl Iterator<Item = &Name> {
+        self.closings.iter().filter(|(_, (_, closed))| *closed).map(|(name, _)| name)
+    }
+
+    /// Puts a configuration in force if its version is higher.
+    pub fn adopt(&mut self, configuration: Configuration) -> bool {
+        if configuration.version <= self.version() {
+            return false;
+        }
+        self.table = Arc::new(RouteTable::new(configuration));
+        true
+    }
+
+    /// Closes or opens a data centre; true if that changes anything.
+    pub fn close(&mut self, closing: Closing) -> bool {
+        let Closing { data_centre, revision, closed } = closing;
+        let known = self.closings.entry(data_centre).or_insert((0, false));
+        if revision <= known.0 || known.1 == closed {
+            return false;
+        }
+        *known = (revision, closed);
+        self.closed = self.closed.max(revision);
+        true
+    }
+
+    /// Takes note that the store confirmed the view up to a revision at that time.
+    pub fn confirm(&mut self, synced: u64, at: Instant) {
+        self.synced = self.synced.max(synced);
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Summary for other hosts.
+    pub fn published(&self, now: Instant) -> Published {
+        let content = self.registry.revision().max(self.closed);
+        let age = self.age(now).map_or(u64::MAX, |a| a.as_millis() as u64);
+        Published { version: self.version(), content, synced: self.synced, age }
+    }
+
+    /// Time since the store last confirmed the view; `None` if it never did.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Whether a host with that summary knows something that this one does not.
+    pub fn is_behind(&self, other: &Published, now: Instant) -> bool {
+        let own = self.published(now);
+        other.version > own.version || other.content > own.content
+    }
+
+    /// Takes over the age of another host's view that says the same.
+    pub fn refresh(&mut self, other: &Published, now: Instant) {
+        let own = self.published(now);
+        let same = other.content == own.content && other.version == own.version;
+        if same && other.age < own.age {
+            let at = now.checked_sub(Duration::from_millis(other.age));
+            self.confirm(other.synced, at.unwrap_or(now));
+        }
+    }
+
+    /// What this host knows beyond one with that summary.
+    pub fn delta(&self, other: &Published, now: Instant) -> Delta {
+        let own = self.published(now);
+        let newer = own.version > other.version;
+        let closings = self.closings.iter().filter(|(_, (revision, _))| *revision > other.content);
+        let closing = |(name, (revision, closed)): (&Name, &(u64, bool))| Closing {
+            data_centre: name.clone(),
+            revision: *revision,
+            closed: *closed,
+        };
+        Delta {
+            configuration: newer.then(|| self.table.configuration().clone()),
+            targets: self.registry.since(other.content),
+            closings: closings.map(closing).collect(),
+            synced: own.synced,
+            age: own.age,
+        }
+    }
+
+    /// Takes what another host knows beyond this one; true if something changed.
+    pub fn merge(&mut self, delta: Delta, now: Instant) -> bool {
+        let mut changed = delta.configuration.is_some_and(|c| self.adopt(c));
+        for change in delta.targets {
+            changed |= self.registry.merge(change);
+        }
+        for closing in delta.closings {
+            changed |= self.close(closing);
+        }
+        if delta.age != u64::MAX {
+            let at = now.checked_sub(Duration::from_millis(delta.age));
+            self.confirm(delta.synced, at.unwrap_or(now));
+        }
+        changed
+    }
+}
--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -4,10 +4,11 @@
 
 use crate::client::Client;
 use crate::error::{Error, Result};
-use crate::{apply, check, get, member, moves, serve, status};
+use crate::{apply, check, forward, get, member, moves, serve, status};
 
-const COMMANDS: [&Command; 12] = [
+const COMMANDS: [&Command; 13] = [
     &serve::COMMAND,
+    &forward::COMMAND,
     &check::COMMAND,
     &apply::COMMAND,
     &get::COMMAND,
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -6,7 +6,7 @@
 //! # Modules
 //!
 //! - `command`: the list of commands, their options and help
-//! - `serve`, `check`, `apply`, `get`, `status`: the commands
+//! - `serve`, `forward`, `check`, `apply`, `get`, `status`: the commands
 //! - `client`: operators' calls to an entry host
 //! - `output`: text for people, JSON for machines
 //! - `error`: errors and their exit codes
@@ -16,6 +16,7 @@
 mod client;
 mod command;
 mod error;
+mod forward;
 mod get;
 mod member;
 mod moves;
--- a/crates/sapphirerack/tests/deployments.rs
+++ b/crates/sapphirerack/tests/deployments.rs
@@ -7,7 +7,7 @@
 
 use sapphirerack_lab::fleet::{Fleet, HostProcess, Plan};
 use sapphirerack_lab::target::Behaviour;
-use sapphirerack_platform::Store;
+use sapphirerack_clients::Store;
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
--- a/crates/sapphirerack/tests/rolling.rs
+++ b/crates/sapphirerack/tests/rolling.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_lab::fleet::{Fleet, HostProcess, Plan, Shape};
-use sapphirerack_platform::{HostEntry, HostState};
+use sapphirerack_clients::{HostEntry, HostState};
 use serde_json::{Value, json};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
