Do without overloaded shards, and refuse queries that need them

Ruled out: a lost watch or a missing target (the registry was right). Change: policy::direct::admission (share of the queries a shard is asked for, lowered while more than a quarter of its parts miss the aim); the cut leaves 7 ms in place of 2; a host's share of the connections bounds what it has at a target; a target that refused may be offered the request again.

--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::Choice;
+use sapphirerack_policy::direct::{Balance, Choice};
 use tokio::task::{AbortHandle, JoinHandle, spawn_local};
 
 use crate::attempt::{Call, Outcome, attempt};
@@ -82,7 +82,7 @@
     service: &Name,
     attempts: &Attempts,
 ) -> Option<Outcome> {
-    let mut asking = Asking { host, call, service, attempts, tried: Vec::new(), runs: 0, hedge: None };
+    let mut asking = Asking { host, call, service, attempts, tried: Vec::new(), running: Vec::new(), runs: 0, hedge: None };
     host.balance(service, |b| b.earn());
     let mut running = FuturesUnordered::new();
     running.push(asking.start()?);
@@ -125,7 +125,10 @@
     call: &'a Rc<Call>,
     service: &'a Name,
     attempts: &'a Attempts,
+    /// Targets that were asked.
     tried: Vec<Name>,
+    /// Targets that may answer yet, or may have run the request.
+    running: Vec<Name>,
     /// Targets that may have run the request.
     runs: u32,
     /// When a second target is asked.
@@ -140,10 +143,13 @@
         let (usual, overdue) =
             self.host.typical(&self.call.route, |t| (t.mean(), t.overdue()));
         let tried = &self.tried;
-        let choice = self
-            .host
-            .balance(self.service, |b| b.choose(tried, usual, overdue, now))
-            .flatten()?;
+        let choose = |b: &mut Balance| {
+            let fresh = b.choose(tried, usual, overdue, now);
+            // One that refused may have room now.
+            fresh.or_else(|| b.choose(&self.running, usual, overdue, now))
+        };
+        let choice = self.host.balance(self.service, choose).flatten()?;
+        self.running.push(choice.target.id.clone());
         self.tried.push(choice.target.id.clone());
         self.runs += 1;
         self.hedge = self.call.route.idempotent.then(|| now + overdue);
@@ -180,6 +186,7 @@
         self.host.metrics.target_failed(self.service);
         if matches!(outcome, Outcome::NotRun(_)) {
             self.runs -= 1;
+            self.running.retain(|id| **id != *target);
         }
     }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -114,7 +114,7 @@
             if let Outcome::Answered(a) = &outcome {
                 // The rest of a body that the target did not wait for would follow.
                 if call.body.is_empty() {
-                    host.pool.put(connection, &a.head, host.connections(&hand.service));
+                    host.pool.put(connection, &a.head, host.kept(&hand.service));
                 }
             }
             outcome
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -8,10 +8,11 @@
 use sapphirerack_catalogue::{Map, Name};
 use sapphirerack_policy::direct::{Balance, Shares, Split, Typical};
 use sapphirerack_policy::{Clock, Membership};
-use sapphirerack_routes::{Route, Target, View};
+use sapphirerack_routes::{Route, Service, Target, View};
 use tokio::sync::Notify;
 
 use crate::client::Pool;
+use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
 use crate::{Dialect, Settings};
 
@@ -42,6 +43,10 @@
     pub dialect: Dialect,
     pub clock: Arc<dyn Clock>,
     pub metrics: Metrics,
+    /// Lines on requests that failed.
+    pub failures: LogLimit,
+    /// Lines on answers that lack parts.
+    pub shortages: LogLimit,
     pub view: RefCell<View>,
     pub members: RefCell<Membership>,
     pub pool: Rc<Pool>,
@@ -70,6 +75,8 @@
             dialect,
             clock,
             metrics,
+            failures: LogLimit::default(),
+            shortages: LogLimit::default(),
             view: RefCell::default(),
             members: RefCell::new(members),
             pool: Rc::default(),
@@ -112,7 +119,8 @@
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| configuration.services.contains_key(name));
         for (name, service) in &configuration.services {
-            let balance = services.entry(name.clone()).or_insert_with(|| Balance::new(shares));
+            let balance = services.entry(name.clone()).or_insert_with(|| Balance::new(shares, now));
+            balance.set_limit(self.connections(service));
             let targets = by_service.remove(name).unwrap_or_default();
             balance.update(&targets, &home, service.cold_rate, now);
         }
@@ -132,6 +140,7 @@
             for balance in self.services.borrow_mut().values_mut() {
                 balance.set_shares(shares);
             }
+            self.view_changed();
         }
     }
 
@@ -140,19 +149,34 @@
         Shares { hosts: self.most.get(), extra: bounds.extra, slack: bounds.slack }
     }
 
-    /// Idle connections that this host may keep to each target of a service.
-    pub(crate) fn connections(&self, service: &Name) -> usize {
-        let view = self.view.borrow();
-        let limit = view.table().configuration().services.get(service).map_or(1, |s| s.connections);
-        let share = f64::from(limit) * CONNECTIONS_USED / self.most.get() as f64;
+    /// Connections to each target of a service that are this host's share.
+    pub(crate) fn connections(&self, service: &Service) -> usize {
+        let share = f64::from(service.connections) * CONNECTIONS_USED / self.most.get() as f64;
         (share as usize).max(1)
     }
 
+    /// Idle connections that this host keeps to each target of a service.
+    pub(crate) fn kept(&self, service: &Name) -> usize {
+        let view = self.view.borrow();
+        let known = view.table().configuration().services.get(service);
+        known.map_or(1, |s| self.connections(s))
+    }
+
     /// Runs `f` on the targets of a service; `None` if the service is not known.
     pub(crate) fn balance<T>(&self, service: &Name, f: impl FnOnce(&mut Balance) -> T) -> Option<T> {
         self.services.borrow_mut().get_mut(service).map(f)
     }
 
+    /// What is believed of the targets of a service, for the log.
+    pub(crate) fn describe(&self, service: &Name) -> String {
+        let now = self.now();
+        let describe = |b: &mut Balance| {
+            let replicas = b.replicas().iter().map(|r| r.describe(now));
+            replicas.collect::<Vec<_>>().join(",")
+        };
+        self.balance(service, describe).unwrap_or_default()
+    }
+
     /// Runs `f` on the usual latency of a route.
     pub(crate) fn typical<T>(&self, route: &Route, f: impl FnOnce(&mut Typical) -> T) -> T {
         let mut typical = self.typical.borrow_mut();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 //! - `ready`: readiness and metrics
 //! - `metrics`: counters and histograms
 //! - `log_line`: the log, which never blocks
+//! - `log_limit`: keeps its volume bounded
 //! - `error`: the crate's error
 
 mod ask;
@@ -38,6 +39,7 @@
 mod dialect;
 mod error;
 mod host;
+mod log_limit;
 mod log_line;
 mod metrics;
 mod peers;
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -8,7 +8,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderValue;
-use sapphirerack_policy::direct::{Cutoff, Decision};
+use sapphirerack_catalogue::Name;
+use sapphirerack_policy::direct::{Balance, Cutoff, Decision, select};
 use sapphirerack_routes::Gather;
 
 use crate::ask::{Attempts, ask};
@@ -19,7 +20,7 @@
 const RECORD: usize = 16;
 
 /// Time that this host needs from the decision to answer until the answer has left.
-const ANSWER_TIME: Duration = Duration::from_millis(2);
+const ANSWER_TIME: Duration = Duration::from_millis(7);
 
 type Record = [u8; RECORD];
 
@@ -33,6 +34,8 @@
 pub(crate) enum Gathered {
     /// An answer, with signatures, missing shards and records.
     Answer { seals: HeaderValue, parts: usize, body: Bytes },
+    /// Too many shards are overloaded or without targets; none was asked.
+    Refused,
     /// Too few parts.
     Short { parts: usize },
 }
@@ -45,27 +48,88 @@
     aim: Instant,
     attempts: &Attempts,
 ) -> Gathered {
-    let shards = gather.shards.iter().map(|service| ask(host, call, service, attempts));
+    let Some(asked) = admitted(host, gather) else { return Gathered::Refused };
+    let shards = asked.iter().map(|shard| async {
+        (*shard, ask(host, call, &gather.shards[*shard], attempts).await)
+    });
     let mut open: FuturesUnordered<_> = shards.collect();
     let distance = host.settings.borrow().queries.distance;
     let aim = aim.checked_sub(distance + ANSWER_TIME).unwrap_or(aim);
     let total = gather.shards.len();
     let cutoff = Cutoff { total, least: gather.least(), aim, deadline: call.deadline };
     let mut parts: Vec<Part> = Vec::with_capacity(total);
+    let mut missing: Vec<usize> = (0..total).collect();
+    let mut settled: Vec<usize> = Vec::with_capacity(total);
     loop {
         match cutoff.decide(parts.len(), open.len(), host.now()) {
-            Decision::Answer => return merge(&parts, gather.top),
-            Decision::GiveUp => return Gathered::Short { parts: parts.len() },
             Decision::Wait(until) => {
                 let next = tokio::time::timeout_at(until.into(), open.next()).await;
-                if let Ok(Some(Some(outcome))) = next {
-                    parts.extend(part(host, outcome));
+                let now = host.now();
+                if let Ok(Some((shard, outcome))) = &next
+                    && now < aim
+                {
+                    let in_time = outcome.as_ref().is_some_and(Outcome::is_success);
+                    record(host, &gather.shards[*shard], in_time, now);
+                    settled.push(*shard);
                 }
+                if let Ok(Some((shard, Some(outcome)))) = next
+                    && let Some(part) = part(host, outcome)
+                {
+                    parts.push(part);
+                    missing.retain(|m| *m != shard);
+                }
+            }
+            decision => {
+                let late = asked.iter().filter(|shard| !settled.contains(shard));
+                let now = host.now();
+                if now >= aim {
+                    late.for_each(|shard| record(host, &gather.shards[*shard], false, now));
+                }
+                log_missing(host, call, gather, &missing, attempts);
+                return match decision {
+                    Decision::Answer => merge(&parts, gather.top),
+                    _ => Gathered::Short { parts: parts.len() },
+                };
             }
         }
     }
 }
 
+/// Shards that have room for the query; `None` if they are too few.
+fn admitted(host: &Host, gather: &Gather) -> Option<Vec<usize>> {
+    let now = host.now();
+    let share = |service| {
+        let share = |b: &mut Balance| match b.replicas() {
+            [] => 0.0,
+            _ => b.admission().share(now),
+        };
+        host.balance(service, share).unwrap_or_default()
+    };
+    let shares: Vec<f64> = gather.shards.iter().map(share).collect();
+    let draws: Vec<f64> = shares.iter().map(|_| fastrand::f64()).collect();
+    select(&shares, &draws, gather.least())
+}
+
+fn record(host: &Host, service: &Name, in_time: bool, now: Instant) {
+    host.balance(service, |b| b.admission().record(in_time, now));
+}
+
+fn log_missing(host: &Host, call: &Call, gather: &Gather, missing: &[usize], tries: &Attempts) {
+    let Some(first) = missing.first().and_then(|shard| gather.shards.get(*shard)) else { return };
+    let Some(suppressed) = host.shortages.admit(host.now()) else { return };
+    let id = call.id.to_str().unwrap_or("?");
+    log::info!(
+        "event=parts_missing id={id} route={} missing={}/{} first={first} replicas=\"{}\" \
+         targets=\"{}\" left_ms={} suppressed={suppressed}",
+        call.route.name,
+        missing.len(),
+        gather.shards.len(),
+        host.describe(first),
+        tries.trail(),
+        call.deadline.saturating_duration_since(host.now()).as_millis(),
+    );
+}
+
 fn part(host: &Host, outcome: Outcome) -> Option<Part> {
     if !outcome.is_success() {
         return None;
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -167,6 +167,7 @@
             host.metrics.covered(&call.route.name, parts as f64 / shards.shards.len() as f64);
             reply
         }
+        Gathered::Refused => refused(host, call, attempts),
         Gathered::Short { .. } if !attempts.is_started() => refused(host, call, attempts),
         Gathered::Short { parts } => {
             let reason = format!("parts={parts}/{}", shards.shards.len());
@@ -217,13 +218,14 @@
 }
 
 fn log_failure(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) {
+    let Some(suppressed) = host.failures.admit(host.now()) else { return };
     let id = call.id.to_str().unwrap_or("?");
     let route = &call.route.name;
     let version = host.view.borrow().version();
     let trail = attempts.trail();
     log::warn!(
         "event=request_failed id={id} route={route} status={status} reason=\"{reason}\" \
-         version={version} targets=\"{trail}\""
+         version={version} targets=\"{trail}\" suppressed={suppressed}"
     );
 }
 
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -6,6 +6,7 @@
 use sapphirerack_catalogue::{Map, Name};
 use sapphirerack_routes::Target;
 
+use super::admission::Admission;
 use super::cold::ColdLimit;
 use super::replica::{Ending, Replica, Ticket};
 use crate::Budget;
@@ -13,6 +14,9 @@
 /// Part of the permitted extra requests that is used.
 const EXTRA_USED: f64 = 0.8;
 
+/// Requests that a host may have at a target whatever its share of the connections is.
+const LEAST_HELD: usize = 2;
+
 /// What one host may do of what all hosts together may.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shares {
@@ -42,11 +46,13 @@
     budget: Budget,
     shares: Shares,
     tickets: u64,
+    limit: usize,
+    admission: Admission,
 }
 
 impl Balance {
     /// A service without targets.
-    pub fn new(shares: Shares) -> Self {
+    pub fn new(shares: Shares, now: Instant) -> Self {
         Self {
             replicas: Vec::new(),
             cold: Map::default(),
@@ -54,6 +60,8 @@
             budget: budget(shares),
             shares,
             tickets: 0,
+            limit: LEAST_HELD,
+            admission: Admission::new(now),
         }
     }
 
@@ -79,6 +87,16 @@
         self.cold.retain(|id, _| ids.contains(id));
     }
 
+    /// Takes the most requests that this host may have at one target.
+    pub fn set_limit(&mut self, connections: usize) {
+        self.limit = connections.max(LEAST_HELD);
+    }
+
+    /// How much of the service's load is admitted.
+    pub fn admission(&mut self) -> &mut Admission {
+        &mut self.admission
+    }
+
     /// Takes changed shares.
     pub fn set_shares(&mut self, shares: Shares) {
         if shares != self.shares {
@@ -105,7 +123,7 @@
     ) -> Option<Choice> {
         let mut order: Vec<(f64, usize)> = Vec::with_capacity(self.replicas.len());
         for (at, replica) in self.replicas.iter().enumerate() {
-            if !tried.contains(&replica.target().id) {
+            if !tried.contains(&replica.target().id) && replica.load() < self.limit {
                 // Breaks ties at random, so that hosts don't all choose the same target.
                 let jitter = fastrand::f64() * 0.05;
                 order.push((replica.cost(now) + jitter, at));
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of a host that talks to targets itself, by its own view of them.
 //!
+//! - `admission`: what is done without or refused when shards are overloaded
 //! - `replica`: one target as this host sees it
 //! - `balance`: which target of a service gets a request, and when a second one is asked
 //! - `typical`: usual latency of a route
@@ -7,6 +8,7 @@
 //! - `cutoff`: when a scattered query is answered
 //! - `readers`: which hosts read the store
 
+mod admission;
 mod balance;
 mod cold;
 mod cutoff;
@@ -15,6 +17,7 @@
 mod split;
 mod typical;
 
+pub use admission::{Admission, select};
 pub use balance::{Balance, Choice, Shares};
 pub use cold::ColdLimit;
 pub use cutoff::{Cutoff, Decision};
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -176,6 +176,13 @@
         self.held.iter().any(|h| now > h.since + h.overdue && self.heard <= h.since)
     }
 
+    /// What is believed of the target, for the log.
+    pub fn describe(&self, now: Instant) -> String {
+        let (id, load, slowness) = (&self.target.id, self.load(), self.slowness(now));
+        let (failing, silent) = (self.failing(now), self.is_silent(now));
+        format!("{id}/load={load}/slowness={slowness:.1}/failing={failing:.2}/silent={silent}")
+    }
+
     /// How much slower than usual a new request is expected to be; comparable between targets.
     pub fn cost(&self, now: Instant) -> f64 {
         let mut cost = self.slowness(now) * (1.0 + LOAD_WEIGHT * self.load() as f64);
