Settle held-back removals by listing the store again

Ruled out: the cut of scz-b at 33.5 s (its 20 targets were rightly gone). Change: routes::Lapses keeps only whether removals are believed; when the doubt is over the store is listed anew and what is still missing has gone.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -34,11 +34,10 @@
         tokio::time::sleep(START_PATIENCE.mul_f64(0.5 + fastrand::f64())).await;
     }
     loop {
-        reader.settle();
         let patience = host.patience();
         let age = host.view.borrow().age(host.now());
         let left = age.map_or(Duration::ZERO, |age| patience.saturating_sub(age));
-        if !left.is_zero() {
+        if !left.is_zero() && !reader.lapses.is_due(host.now()) {
             tokio::time::sleep(left.min(LONGEST_SLEEP)).await;
             continue;
         }
@@ -62,13 +61,15 @@
 impl Reader {
     async fn read(&mut self) -> Result<()> {
         let start = self.host.now();
-        if self.expired || self.host.view.borrow().synced() == 0 {
+        let due = self.lapses.is_due(start);
+        if due || self.expired || self.host.view.borrow().synced() == 0 {
             self.list_all(start).await?;
             self.expired = false;
         } else {
             self.changes(start).await?;
         }
         self.reading.succeeded();
+        self.lapses.store_back(self.host.now());
         if std::mem::take(&mut self.away) {
             log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
         }
@@ -77,37 +78,19 @@
 
     /// Takes note that the store did not answer; tells how long to pause.
     fn failed(&mut self, error: &Error, patience: Duration) -> Duration {
-        let now = self.host.now();
         self.host.metrics.store_failed();
         if error.classify() == Category::Expired {
             log::info!("event=store_history_gone error=\"{error}\"");
             self.expired = true;
             return Duration::ZERO;
         }
-        self.lapses.store_away(now);
+        self.lapses.store_away();
         if !std::mem::replace(&mut self.away, true) {
             log::warn!("event=store_lost error=\"{error}\"");
         }
         self.reading.failed(patience)
     }
 
-    /// Believes removals that were held back long enough.
-    fn settle(&mut self) {
-        let due = self.lapses.due(self.host.now());
-        if due.is_empty() {
-            return;
-        }
-        let mut view = self.host.view.borrow_mut();
-        // Told as new, so that hosts which know all before it learn of it.
-        let revision = view.synced();
-        for (id, _) in due {
-            log::info!("event=target_gone target={id} revision={revision} held=true");
-            view.registry_mut().remove(&id, revision);
-        }
-        drop(view);
-        self.host.view_changed();
-    }
-
     async fn changes(&mut self, start: Instant) -> Result<()> {
         let after = self.host.view.borrow().synced();
         let mut synced = u64::MAX;
@@ -130,10 +113,9 @@
     }
 
     async fn list_all(&mut self, start: Instant) -> Result<()> {
-        let known = self.host.view.borrow().synced() > 0;
-        if known {
+        if self.expired && self.host.view.borrow().synced() > 0 {
             // What vanished unseen may have lapsed.
-            self.lapses.store_away(start);
+            self.lapses.store_away();
         }
         let mut synced = u64::MAX;
         let mut keys: Set<String> = Set::default();
@@ -171,10 +153,12 @@
 
     fn drop_missing(&mut self, targets: &Set<Name>, closed: &Set<Name>, synced: u64, now: Instant) {
         let mut view = self.host.view.borrow_mut();
-        let listed: Vec<Name> = view.registry().listed().cloned().collect();
-        for id in listed.into_iter().filter(|id| !targets.contains(id)) {
-            if !self.lapses.hold(&id, synced, now) {
-                log::info!("event=target_gone target={id} revision={synced}");
+        let mut missing: Vec<Name> = view.registry().listed().cloned().collect();
+        missing.retain(|id| !targets.contains(id));
+        if missing.is_empty() || !self.lapses.hold(now) {
+            self.lapses.settled();
+            for id in missing {
+                log::info!("event=target_gone target={id} revision={synced} found=listing");
                 view.registry_mut().remove(&id, synced);
             }
         }
@@ -207,7 +191,6 @@
                 adopted
             }
             Item::Target(id, Some(target)) if !gone => {
-                self.lapses.announced(&id);
                 let (service, draining) = (target.service.clone(), target.draining);
                 let changed = view.registry_mut().announce(target, revision);
                 if changed {
@@ -219,7 +202,7 @@
                 changed
             }
             Item::Target(id, _) => {
-                if gone && self.lapses.hold(&id, revision, now) {
+                if gone && self.lapses.hold(now) {
                     log::info!("event=target_missing target={id} revision={revision}");
                     return false;
                 }
