--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -96,19 +96,40 @@
     }
 
     /// Takes a change from another host; true if it changes where requests may go.
+    ///
+    /// The change is passed on even if it says what is known already: a host that learns from
+    /// this one asks only for what came after a revision.
     pub fn merge(&mut self, change: Change) -> bool {
         let Change { id, revision, target, listed } = change;
-        if listed {
-            return target.is_some_and(|t| self.announce(t, revision));
-        }
-        let known = self.entries.contains_key(&id);
-        if !known && target.is_some() {
-            // Remembered, so that a delayed announcement does not bring it back.
+        self.revision = self.revision.max(revision);
+        let Some(entry) = self.entries.get_mut(&id) else {
             let last = target.map(Arc::new);
-            self.entries.insert(id, Entry { last, listed: false, revision });
-            self.revision = self.revision.max(revision);
+            let changed = listed && last.is_some();
+            self.entries.insert(id, Entry { last, listed: changed, revision });
+            return changed;
+        };
+        let older = match (&target, &entry.last) {
+            (Some(target), Some(last)) => last.is_newer(target),
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        if revision <= entry.revision || (listed && older) {
             return false;
         }
-        self.remove(&id, revision)
+        let mut target = target.map(Arc::new);
+        let mut same = entry.listed == listed;
+        if let (Some(target), Some(last)) = (&mut target, &entry.last) {
+            let drains = last.draining && last.born == target.born;
+            if drains && !target.draining {
+                Arc::make_mut(target).draining = true;
+            }
+            same &= !listed || last.says_same(target);
+        }
+        if !older {
+            entry.last = target;
+        }
+        entry.listed = listed;
+        entry.revision = revision;
+        !same
     }
 }
--- /dev/null
+++ b/crates/routes/tests/registry.rs
@@ -0,0 +1,169 @@
+//! Which announcement of a target wins, and what hosts pass on.
+
+use std::time::{Duration, Instant};
+
+use sapphirerack_routes::{Configuration, Published, Registry, Target, View};
+
+fn target(id: &str, born: u64, sequence: u64) -> Target {
+    Target {
+        id: id.into(),
+        service: "search".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "munich".into(),
+        version: "v1".into(),
+        slots: 2,
+        draining: false,
+        cold: Duration::ZERO,
+        born,
+        sequence,
+    }
+}
+
+fn draining(id: &str, born: u64, sequence: u64) -> Target {
+    Target { draining: true, ..target(id, born, sequence) }
+}
+
+fn usable(view: &View) -> Vec<String> {
+    let mut ids: Vec<String> = view.usable().map(|t| t.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+/// Lets `to` ask `from` for what it misses.
+fn exchange(from: &View, to: &mut View, now: Instant) {
+    let asked = to.published(now);
+    let delta = from.delta(&asked, now);
+    to.merge(delta, now);
+}
+
+#[test]
+fn delayed_announcement_does_not_revive_a_removed_target() {
+    let mut registry = Registry::default();
+    registry.announce(target("a", 1, 5), 10);
+    registry.remove(&"a".into(), 11);
+
+    let changed = registry.announce(target("a", 1, 4), 12);
+
+    assert!(!changed);
+    assert_eq!(registry.targets().count(), 0);
+}
+
+#[test]
+fn lapsed_target_is_back_with_its_next_announcement() {
+    let mut registry = Registry::default();
+    registry.announce(target("a", 1, 5), 10);
+    registry.remove(&"a".into(), 11);
+
+    assert!(registry.announce(target("a", 1, 6), 12));
+
+    assert_eq!(registry.targets().count(), 1);
+}
+
+#[test]
+fn draining_run_stays_draining_and_a_new_run_does_not() {
+    let mut registry = Registry::default();
+    registry.announce(draining("a", 1, 5), 10);
+
+    registry.announce(target("a", 1, 6), 11);
+    assert!(registry.targets().all(|t| t.draining));
+
+    registry.announce(target("a", 2, 1), 12);
+    assert!(registry.targets().all(|t| !t.draining));
+}
+
+#[test]
+fn removal_is_passed_on_by_a_host_that_had_it_already() {
+    let now = Instant::now();
+    let (mut reader, mut between, mut last) = (View::default(), View::default(), View::default());
+    for view in [&mut reader, &mut between, &mut last] {
+        view.registry_mut().announce(target("a", 1, 5), 10);
+    }
+    between.registry_mut().remove(&"a".into(), 12);
+    last.registry_mut().announce(target("b", 1, 1), 15);
+    reader.registry_mut().remove(&"a".into(), 20);
+
+    exchange(&reader, &mut between, now);
+    exchange(&between, &mut last, now);
+
+    assert_eq!(usable(&last), ["b"]);
+}
+
+#[test]
+fn sequence_of_a_removed_target_is_told_with_its_removal() {
+    let now = Instant::now();
+    let (mut reader, mut other) = (View::default(), View::default());
+    for view in [&mut reader, &mut other] {
+        view.registry_mut().announce(target("a", 1, 1), 10);
+    }
+    // The reader alone sees announcements that change nothing but their number.
+    reader.registry_mut().announce(target("a", 1, 7), 18);
+    reader.registry_mut().remove(&"a".into(), 20);
+
+    exchange(&reader, &mut other, now);
+    other.registry_mut().announce(target("a", 1, 6), 21);
+
+    assert!(usable(&other).is_empty());
+}
+
+#[test]
+fn hosts_that_ask_each_other_in_any_order_come_to_know_the_same() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let now = Instant::now();
+        let mut views: Vec<View> = (0..4).map(|_| View::default()).collect();
+        let mut truth = View::default();
+        for revision in 1..60 {
+            let id = ["a", "b", "c"][rng.usize(..3)];
+            let announced = target(id, 1 + revision / 20, revision);
+            let announced = Target { draining: rng.u8(..4) == 0, ..announced };
+            let removed = rng.u8(..3) == 0;
+            // One host reads each change; the others learn it from each other.
+            let reader = rng.usize(..views.len());
+            let (left, right) = (rng.usize(..views.len()), rng.usize(..views.len()));
+            exchange(&truth, &mut views[reader], now);
+            for view in [&mut truth, &mut views[reader]] {
+                match removed {
+                    true => view.registry_mut().remove(&id.into(), revision),
+                    false => view.registry_mut().announce(announced.clone(), revision),
+                };
+            }
+            if left != right {
+                let delta = views[left].delta(&views[right].published(now), now);
+                views[right].merge(delta, now);
+            }
+        }
+
+        for at in 0..views.len() {
+            exchange(&truth, &mut views[at], now);
+        }
+
+        for view in &views {
+            assert_eq!(usable(view), usable(&truth), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn older_configuration_is_never_adopted() {
+    let mut view = View::default();
+    let version = |version| Configuration { version, ..Default::default() };
+
+    assert!(view.adopt(version(4)));
+    assert!(!view.adopt(version(3)));
+    assert!(!view.adopt(version(4)));
+
+    assert_eq!(view.version(), 4);
+}
+
+#[test]
+fn view_that_says_the_same_takes_over_the_younger_age() {
+    let now = Instant::now();
+    let mut view = View::default();
+    view.confirm(5, now);
+    let later = now + Duration::from_secs(3);
+
+    view.refresh(&Published { version: 0, content: 0, synced: 9, age: 100 }, later);
+
+    assert_eq!(view.age(later), Some(Duration::from_millis(100)));
+    assert_eq!(view.synced(), 9);
+}
