Tell nothing later than a removal that is held back

A host that had been turned away by the store held the removal back as a possible lapse, yet took the later changes of the same watch; hosts that learnt from it believed to know all up to there and never asked for the removal. Ruled out: a delayed announcement (none was taken); a host that had the removal already and did not pass it on (real, found by the new test, but another case). Conclusion: a summary may only name a revision up to which all is believed.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -117,6 +117,7 @@
             // What vanished unseen may have lapsed.
             self.lapses.store_away();
         }
+        let content = self.host.view.borrow().content();
         let mut synced = u64::MAX;
         let mut keys: Set<String> = Set::default();
         let mut found = Vec::new();
@@ -144,23 +145,34 @@
             }
             self.apply(event);
         }
-        self.drop_missing(&targets, &closed, synced, start);
+        self.drop_missing(&targets, &closed, content, synced, start);
         self.host.view.borrow_mut().confirm(synced, start);
         self.host.view_changed();
         log::info!("event=store_listed synced={synced} keys={}", keys.len());
         Ok(())
     }
 
-    fn drop_missing(&mut self, targets: &Set<Name>, closed: &Set<Name>, synced: u64, now: Instant) {
+    /// Takes note of what a listing lacks; `content` was known for certain before it.
+    fn drop_missing(
+        &mut self,
+        targets: &Set<Name>,
+        closed: &Set<Name>,
+        content: u64,
+        synced: u64,
+        now: Instant,
+    ) {
         let mut view = self.host.view.borrow_mut();
         let mut missing: Vec<Name> = view.registry().listed().cloned().collect();
         missing.retain(|id| !targets.contains(id));
         if missing.is_empty() || !self.lapses.hold(now) {
             self.lapses.settled();
+            view.settle();
             for id in missing {
                 log::info!("event=target_gone target={id} revision={synced} found=listing");
                 view.registry_mut().remove(&id, synced);
             }
+        } else {
+            view.doubt(content);
         }
         let opened: Vec<Name> = view.closed().filter(|n| !closed.contains(*n)).cloned().collect();
         for data_centre in opened {
@@ -204,6 +216,7 @@
             Item::Target(id, _) => {
                 if gone && self.lapses.hold(now) {
                     log::info!("event=target_missing target={id} revision={revision}");
+                    view.doubt(revision - 1);
                     return false;
                 }
                 let changed = view.registry_mut().remove(&id, revision);
--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -83,9 +83,10 @@
         true
     }
 
-    /// Changes after a revision, for a host that knows all up to it.
-    pub fn since(&self, revision: u64) -> Vec<Change> {
-        let later = self.entries.iter().filter(|(_, e)| e.revision > revision);
+    /// Changes after one revision and up to another, for a host that knows all up to the first.
+    pub fn between(&self, after: u64, last: u64) -> Vec<Change> {
+        let told = |e: &Entry| e.revision > after && e.revision <= last;
+        let later = self.entries.iter().filter(|(_, e)| told(e));
         let change = |(id, entry): (&Name, &Entry)| Change {
             id: id.clone(),
             revision: entry.revision,
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -30,6 +30,7 @@
     closed: u64,
     synced: u64,
     confirmed: Option<Instant>,
+    certain: Option<u64>,
 }
 
 impl View {
@@ -106,9 +107,26 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Takes note that a removal after a revision is held back: until it is settled, nothing later
+    /// is told to others, who would take it for all there is to know.
+    pub fn doubt(&mut self, revision: u64) {
+        self.certain = Some(self.certain.map_or(revision, |certain| certain.min(revision)));
+    }
+
+    /// Takes note that all removals are settled.
+    pub fn settle(&mut self) {
+        self.certain = None;
+    }
+
+    /// Revision of the last change of targets or closings that is certain.
+    pub fn content(&self) -> u64 {
+        let content = self.registry.revision().max(self.closed);
+        content.min(self.certain.unwrap_or(u64::MAX))
+    }
+
     /// Summary for other hosts.
     pub fn published(&self, now: Instant) -> Published {
-        let content = self.registry.revision().max(self.closed);
+        let content = self.content();
         let age = self.age(now).map_or(u64::MAX, |a| a.as_millis() as u64);
         Published { version: self.version(), content, synced: self.synced, age }
     }
@@ -138,7 +156,8 @@
     pub fn delta(&self, other: &Published, now: Instant) -> Delta {
         let own = self.published(now);
         let newer = own.version > other.version;
-        let closings = self.closings.iter().filter(|(_, (revision, _))| *revision > other.content);
+        let told = |revision: u64| revision > other.content && revision <= own.content;
+        let closings = self.closings.iter().filter(|(_, (revision, _))| told(*revision));
         let closing = |(name, (revision, closed)): (&Name, &(u64, bool))| Closing {
             data_centre: name.clone(),
             revision: *revision,
@@ -146,7 +165,7 @@
         };
         Delta {
             configuration: newer.then(|| self.table.configuration().clone()),
-            targets: self.registry.since(other.content),
+            targets: self.registry.between(other.content, own.content),
             closings: closings.map(closing).collect(),
             synced: own.synced,
             age: own.age,
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -88,6 +88,26 @@
     assert_eq!(usable(&last), ["b"]);
 }
 
+#[test]
+fn host_that_holds_a_removal_back_does_not_hide_it_from_others() {
+    let now = Instant::now();
+    let (mut sure, mut doubtful, mut last) = (View::default(), View::default(), View::default());
+    for view in [&mut sure, &mut doubtful, &mut last] {
+        view.registry_mut().announce(target("a", 1, 5), 10);
+    }
+    sure.registry_mut().remove(&"a".into(), 20);
+    doubtful.doubt(19);
+    for view in [&mut sure, &mut doubtful] {
+        view.registry_mut().announce(target("b", 1, 1), 25);
+    }
+
+    exchange(&doubtful, &mut last, now);
+    exchange(&sure, &mut last, now);
+
+    assert_eq!(usable(&last), ["b"]);
+    assert!(doubtful.is_behind(&sure.published(now), now), "it asks those who know");
+}
+
 #[test]
 fn sequence_of_a_removed_target_is_told_with_its_removal() {
     let now = Instant::now();
