--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -30,6 +30,9 @@
 /// Part of the idle time that a peer states after which a connection is not used again.
 const IDLE_USED: f64 = 0.6;
 
+/// Buffer for what is read from a connection, in bytes; longer bodies are read piece by piece.
+const READ_BUFFER: usize = 4 << 10;
+
 /// Largest answer, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
@@ -63,7 +66,9 @@
         let stream = stream.map_err(|_| Error::timeout("connect", peer))?;
         let stream = stream.map_err(|e| Error::io("connect", peer, e))?;
         tune(&stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| Error::http("connect", peer, e))?;
         tokio::task::spawn_local(async move {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -10,7 +10,7 @@
 
 use sapphirerack_policy::Outgoing;
 use sapphirerack_protocol::{Ask, Datagram, FRAME_LIMIT, Reported, Topic, from_body, to_frame};
-use sapphirerack_routes::Published;
+use sapphirerack_routes::{Delta, Published};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
@@ -24,6 +24,10 @@
 /// Time after which a call to another host is given up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time that a host which starts gives another one to answer, and the pause before the next.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
+const FIRST_PAUSE: Duration = Duration::from_millis(25);
+
 /// Hosts of the own data centre that are sent urgent news at once.
 const FANOUT: usize = 2;
 
@@ -119,18 +123,7 @@
         spawn_local(async move {
             let own = peers.host.view.borrow().published(peers.host.now());
             match ask(peer, &Ask::View(own)).await {
-                Ok(Reported::View(delta)) => {
-                    let now = peers.host.now();
-                    let version = delta.configuration.as_ref().map(|c| c.version);
-                    let targets = delta.targets.len();
-                    if peers.host.view.borrow_mut().merge(*delta, now) {
-                        log::info!(
-                            "event=view_learnt peer={peer} version={} targets={targets}",
-                            version.unwrap_or_default()
-                        );
-                        peers.host.view_changed();
-                    }
-                }
+                Ok(Reported::View(delta)) => learn(&peers.host, peer, *delta),
                 Ok(Reported::Peers(_)) => log::warn!("event=view_refused peer={peer}"),
                 Err(e) => log::debug!("event=view_not_learnt error=\"{e}\""),
             }
@@ -153,6 +146,33 @@
     }
 }
 
+/// Takes over what another host knows beyond this one.
+fn learn(host: &Host, peer: SocketAddr, delta: Delta) {
+    let version = delta.configuration.as_ref().map_or(0, |c| c.version);
+    let targets = delta.targets.len();
+    let changed = host.view.borrow_mut().merge(delta, host.now());
+    if changed {
+        log::info!("event=view_learnt peer={peer} version={version} targets={targets}");
+        host.view_changed();
+    }
+}
+
+/// Asks the given hosts in turn until a configuration is known.
+pub(crate) async fn learn_first(host: Rc<Host>, mut peers: Vec<SocketAddr>) {
+    fastrand::shuffle(&mut peers);
+    for peer in peers.iter().cycle() {
+        if host.view.borrow().version() > 0 {
+            return;
+        }
+        let own = host.view.borrow().published(host.now());
+        let asked = tokio::time::timeout(FIRST_TIMEOUT, ask(*peer, &Ask::View(own))).await;
+        if let Ok(Ok(Reported::View(delta))) = asked {
+            learn(&host, *peer, *delta);
+        }
+        tokio::time::sleep(FIRST_PAUSE).await;
+    }
+}
+
 async fn ask(peer: SocketAddr, question: &Ask) -> Result<Reported> {
     let call = async {
         let stream = TcpStream::connect(peer).await;
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -99,9 +99,9 @@
 fn admitted(host: &Host, gather: &Gather) -> Option<Vec<usize>> {
     let now = host.now();
     let share = |service| {
-        let share = |b: &mut Balance| match b.replicas() {
-            [] => 0.0,
-            _ => b.admission().share(now),
+        let share = |b: &mut Balance| match b.has_room() {
+            true => b.admission().share(now),
+            false => 0.0,
         };
         host.balance(service, share).unwrap_or_default()
     };
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -1,5 +1,6 @@
 //! What the store says, and when it is read.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,12 +9,13 @@
 use sapphirerack_routes::{Closing, Lapses};
 
 use crate::host::Host;
+use crate::peers::learn_first;
 use crate::store::Store;
 use crate::{Category, Error, Event, Item, Result};
 
-/// Time that a host which is no seed gives the others to answer before it reads the store itself
+/// Time that a host which is no seed gives the seeds to answer before it reads the store itself
 /// at its start.
-const START_PATIENCE: Duration = Duration::from_millis(350);
+const START_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Longest time between two looks at whether held-back removals are due.
 const LONGEST_SLEEP: Duration = Duration::from_millis(400);
@@ -31,7 +33,10 @@
         away: false,
     };
     if !host.is_seed() {
-        tokio::time::sleep(START_PATIENCE.mul_f64(0.5 + fastrand::f64())).await;
+        let patience = START_PATIENCE.mul_f64(0.75 + fastrand::f64() / 2.0);
+        let seeds = host.seeds();
+        // Whether or not a seed knew something, the store is asked when this is too old.
+        let _ = tokio::time::timeout(patience, learn_first(host.clone(), seeds)).await;
     }
     loop {
         let patience = host.patience();
@@ -263,6 +268,11 @@
         patience(rank, rank_here)
     }
 
+    /// Addresses of the hosts to ask first.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.settings.borrow().seed_hosts()
+    }
+
     /// Whether the others ask this host first.
     fn is_seed(&self) -> bool {
         let settings = self.settings.borrow();
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -86,18 +86,10 @@
         Timing { interval: peers::INTERVAL, suspicion: SUSPICION, ..Timing::default() };
     let mut members =
         Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
-    members.set_seeds(seeds(settings));
+    members.set_seeds(settings.seed_hosts());
     members
 }
 
-/// Addresses for other hosts of the seeds; all hosts use the same port.
-fn seeds(settings: &Settings) -> Vec<std::net::SocketAddr> {
-    let port = settings.listen.hosts.port();
-    let own = settings.listen.hosts.ip();
-    let others = settings.seeds.iter().filter(|s| s.ip() != own);
-    others.map(|s| (s.ip(), port).into()).collect()
-}
-
 /// Reads the settings again when they change, with or without a signal.
 async fn follow_settings(host: Rc<Host>, path: std::path::PathBuf, mut reload: Signal) {
     let mut last = modified(&path);
@@ -112,7 +104,7 @@
             from_text(&text).map_err(|e| e.to_string())
         }) {
             Ok(settings) => {
-                host.members.borrow_mut().set_seeds(seeds(&settings));
+                host.members.borrow_mut().set_seeds(settings.seed_hosts());
                 let changed = *host.settings.borrow() != settings;
                 log::info!("event=reload changed={changed}");
                 let mut own = host.settings.borrow_mut();
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -37,6 +37,15 @@
     pub log: Name,
 }
 
+impl Settings {
+    /// Addresses of the other hosts that are asked first; all hosts use the same port.
+    pub(crate) fn seed_hosts(&self) -> Vec<SocketAddr> {
+        let own = self.listen.hosts;
+        let others = self.seeds.iter().filter(|s| s.ip() != own.ip());
+        others.map(|s| (s.ip(), own.port()).into()).collect()
+    }
+}
+
 /// Addresses that a host listens on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -87,6 +87,11 @@
         self.cold.retain(|id, _| ids.contains(id));
     }
 
+    /// Whether some target may be sent one more request by this host.
+    pub fn has_room(&self) -> bool {
+        self.replicas.iter().any(|r| r.load() < self.limit)
+    }
+
     /// Takes the most requests that this host may have at one target.
     pub fn set_limit(&mut self, connections: usize) {
         self.limit = connections.max(LEAST_HELD);
