--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -25,7 +25,7 @@
 const LOAD_WEIGHT: f64 = 0.6;
 
 /// How much a target in another data centre counts as slower.
-const DISTANCE_WEIGHT: f64 = 1.2;
+const DISTANCE_WEIGHT: f64 = 3.0;
 
 /// A request in hand at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
