Read the store at the start when no seed answers

Change: a starting host asks all seeds within 40 ms each; if none answers it reads the store, spread over 100 ms.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -24,8 +24,10 @@
 /// Time after which a call to another host is given up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time that a host which starts gives another one to answer, and the pause before the next.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time that a host which starts gives another one to answer.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Pause of a host which starts before it asks the others again.
 const FIRST_PAUSE: Duration = Duration::from_millis(25);
 
 /// Hosts of the own data centre that are sent urgent news at once.
@@ -157,17 +159,25 @@
     }
 }
 
-/// Asks the given hosts in turn until a configuration is known.
+/// Asks the given hosts in turn until a configuration is known, or until none of them answers:
+/// then they are not there, and the store has to be asked.
 pub(crate) async fn learn_first(host: Rc<Host>, mut peers: Vec<SocketAddr>) {
     fastrand::shuffle(&mut peers);
-    for peer in peers.iter().cycle() {
-        if host.view.borrow().version() > 0 {
-            return;
+    loop {
+        let mut answered = false;
+        for peer in &peers {
+            if host.view.borrow().version() > 0 {
+                return;
+            }
+            let own = host.view.borrow().published(host.now());
+            let asked = tokio::time::timeout(FIRST_TIMEOUT, ask(*peer, &Ask::View(own))).await;
+            if let Ok(Ok(Reported::View(delta))) = asked {
+                answered = true;
+                learn(&host, *peer, *delta);
+            }
         }
-        let own = host.view.borrow().published(host.now());
-        let asked = tokio::time::timeout(FIRST_TIMEOUT, ask(*peer, &Ask::View(own))).await;
-        if let Ok(Ok(Reported::View(delta))) = asked {
-            learn(&host, *peer, *delta);
+        if !answered {
+            return;
         }
         tokio::time::sleep(FIRST_PAUSE).await;
     }
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -17,6 +17,9 @@
 /// at its start.
 const START_PATIENCE: Duration = Duration::from_millis(400);
 
+/// Time over which hosts that start together spread their first questions.
+const START_SPREAD: Duration = Duration::from_millis(100);
+
 /// Longest time between two looks at whether held-back removals are due.
 const LONGEST_SLEEP: Duration = Duration::from_millis(400);
 
@@ -35,6 +38,8 @@
     if !host.is_seed() {
         let patience = START_PATIENCE.mul_f64(0.75 + fastrand::f64() / 2.0);
         let seeds = host.seeds();
+        // All hosts may start at once, the seeds a little later than this one.
+        tokio::time::sleep(START_SPREAD.mul_f64(fastrand::f64())).await;
         // Whether or not a seed knew something, the store is asked when this is too old.
         let _ = tokio::time::timeout(patience, learn_first(host.clone(), seeds)).await;
     }
