Forget a target's slowness fast after a pause, slowly when it stays slow

Cause: each target pauses 120 to 200 ms every few seconds; with one half-life of 1.5 s a pause kept requests away from it for seconds, and sent them to other data centres. Change: the half-life starts at 0.3 s and doubles with each time in a row that the target is slow, requests that waited for the same pause counting once.

--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -12,8 +12,19 @@
 /// Bounds of one observation of the slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.2..=30.0;
 
-/// Time after which half of what was observed of a target is forgotten.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Time after which half of a target's failures are forgotten.
+const FAILURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Time after which half of a target's slowness is forgotten when it was slow once. It doubles each
+/// time that the target is still slow: one that has paused is back at once, and one that stays
+/// slow is tried ever less.
+const SLOW_HALF_LIFE: Duration = Duration::from_millis(300);
+
+/// Most doublings of that time.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// Multiple of the usual time from which a target counts as slow.
+const SLOW: f64 = 3.0;
 
 /// How much a target that fails all its requests counts as slower.
 const FAILURE_WEIGHT: f64 = 25.0;
@@ -65,6 +76,9 @@
     observed: Instant,
     heard: Instant,
     cold_until: Instant,
+    /// Times in a row that the target was slow.
+    strikes: u32,
+    struck: Option<Instant>,
 }
 
 impl Replica {
@@ -72,7 +86,18 @@
     pub fn new(target: Arc<Target>, local: bool, now: Instant) -> Self {
         let cold_until = now + target.cold;
         let (held, slowness, failing) = (Vec::new(), 1.0, 0.0);
-        Self { target, local, held, slowness, failing, observed: now, heard: now, cold_until }
+        Self {
+            target,
+            local,
+            held,
+            slowness,
+            failing,
+            observed: now,
+            heard: now,
+            cold_until,
+            strikes: 0,
+            struck: None,
+        }
     }
 
     /// The target.
@@ -124,7 +149,7 @@
         match ending {
             Ending::Answered => {
                 self.heard = now;
-                self.observe(latency, held.usual, 0.0, now);
+                self.observe(&held, latency, 0.0, now);
             }
             Ending::Refused | Ending::Failed => {
                 self.heard = now;
@@ -133,22 +158,29 @@
             // It would have taken at least as long as this.
             Ending::Cancelled if latency > held.overdue => {
                 let failing = self.failing;
-                self.observe(latency, held.usual, failing, now);
+                self.observe(&held, latency, failing, now);
             }
             Ending::Cancelled | Ending::Unsent => {}
         }
         Some(latency)
     }
 
-    fn observe(&mut self, latency: Duration, usual: Duration, failing: f64, now: Instant) {
-        let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+    fn observe(&mut self, held: &Held, latency: Duration, failing: f64, now: Instant) {
+        let ratio = latency.as_secs_f64() / held.usual.as_secs_f64().max(1e-4);
         let ratio = ratio.clamp(*SLOWNESS.start(), *SLOWNESS.end());
         let (slowness, before) = (self.slowness(now), self.failing(now));
         // A sudden change shows in full; an average would send more requests into it.
-        let gain = if ratio > slowness * 3.0 { 0.7 } else { GAIN };
+        let gain = if ratio > slowness * SLOW { 0.7 } else { GAIN };
         self.slowness = slowness + gain * (ratio - slowness);
         self.failing = before + GAIN * (failing - before);
         self.observed = now;
+        if ratio < SLOW {
+            self.strikes = 0;
+        } else if self.struck.is_none_or(|at| held.since > at) {
+            // Requests that waited for the same pause count once.
+            self.strikes += 1;
+            self.struck = Some(now);
+        }
     }
 
     fn fail(&mut self, now: Instant) {
@@ -158,17 +190,19 @@
         self.observed = now;
     }
 
-    fn kept(&self, now: Instant) -> f64 {
+    /// Part of what was observed that still counts, 0 to 1.
+    fn kept(&self, half_life: Duration, now: Instant) -> f64 {
         let idle = now.saturating_duration_since(self.observed);
-        0.5_f64.powf(idle.as_secs_f64() / HALF_LIFE.as_secs_f64())
+        0.5_f64.powf(idle.as_secs_f64() / half_life.as_secs_f64())
     }
 
     fn slowness(&self, now: Instant) -> f64 {
-        1.0 + (self.slowness - 1.0) * self.kept(now)
+        let doublings = self.strikes.saturating_sub(1).min(MOST_DOUBLINGS);
+        1.0 + (self.slowness - 1.0) * self.kept(SLOW_HALF_LIFE * 2_u32.pow(doublings), now)
     }
 
     fn failing(&self, now: Instant) -> f64 {
-        self.failing * self.kept(now)
+        self.failing * self.kept(FAILURE_HALF_LIFE, now)
     }
 
     /// Whether a request in hand is overdue and the target has answered nothing since it was sent.
