Tell other hosts of slow targets

Change: datagrams carry reports; a target counts as slow after two slow answers that came apart, seen by whichever hosts; only that is told at once.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Uri};
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::{Choice, Ending};
+use sapphirerack_policy::direct::{Balance, Choice, Ending};
 use sapphirerack_routes::Route;
 
 use crate::client::{Answer, Connection, Failed};
@@ -59,7 +59,14 @@
     fn drop(&mut self) {
         let now = self.host.now();
         let Self { host, choice, ending, .. } = self;
-        let latency = host.balance(&self.service, |b| b.end(choice, *ending, now)).flatten();
+        let end = |b: &mut Balance| {
+            let latency = b.end(choice, *ending, now);
+            (latency, b.is_struck(&choice.target.id, now))
+        };
+        let (latency, struck) = host.balance(&self.service, end).unwrap_or_default();
+        if struck {
+            host.news.notify_one();
+        }
         if *ending == Ending::Answered
             && let Some(latency) = latency
         {
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::{Map, Name};
-use sapphirerack_policy::direct::{Balance, Shares, Split, Typical};
+use sapphirerack_policy::direct::{Balance, Shares, SlowReport, Split, Typical};
 use sapphirerack_policy::{Clock, Membership};
 use sapphirerack_routes::{Route, Service, Target, View};
 use tokio::sync::Notify;
@@ -50,6 +50,8 @@
     pub view: RefCell<View>,
     pub members: RefCell<Membership>,
     pub pool: Rc<Pool>,
+    /// Rings when other hosts should hear at once of a slow target.
+    pub news: Notify,
     /// Rings when the host was told to stop.
     pub stopping: Notify,
     /// Rings when open requests must be answered since the process ends.
@@ -80,6 +82,7 @@
             view: RefCell::default(),
             members: RefCell::new(members),
             pool: Rc::default(),
+            news: Notify::new(),
             stopping: Notify::new(),
             ending: Notify::new(),
             phase: Cell::new(Phase::Starting),
@@ -177,6 +180,29 @@
         self.balance(service, describe).unwrap_or_default()
     }
 
+    /// What other hosts should know of slow targets, the latest first.
+    pub(crate) fn slow_reports(&self, most: usize) -> Vec<SlowReport> {
+        let now = self.now();
+        let services = self.services.borrow();
+        let replicas = services.values().flat_map(|b| b.replicas());
+        let mut reports: Vec<SlowReport> = replicas.filter_map(|r| r.report(now)).collect();
+        reports.sort_by_key(|r| r.age);
+        reports.truncate(most);
+        reports
+    }
+
+    /// Takes over what another host reports of slow targets; true if some of it is news.
+    pub(crate) fn hear(&self, reports: &[SlowReport]) -> bool {
+        let now = self.now();
+        let view = self.view.borrow();
+        let mut news = false;
+        for report in reports {
+            let Some(target) = view.registry().get(&report.target) else { continue };
+            news |= self.balance(&target.service, |b| b.hear(report, now)).unwrap_or_default();
+        }
+        news
+    }
+
     /// Runs `f` on the usual latency of a route.
     pub(crate) fn typical<T>(&self, route: &Route, f: impl FnOnce(&mut Typical) -> T) -> T {
         let mut typical = self.typical.borrow_mut();
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use sapphirerack_policy::Outgoing;
+use sapphirerack_policy::direct::SlowReport;
 use sapphirerack_protocol::{Ask, Datagram, FRAME_LIMIT, Reported, Topic, from_body, to_frame};
 use sapphirerack_routes::{Delta, Published};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,6 +37,15 @@
 /// Name of the topic that carries the summary of the view.
 const VIEW_TOPIC: &str = "view";
 
+/// Name of the topic that carries reports of slow targets.
+const SLOW_TOPIC: &str = "slow";
+
+/// Most reports in a datagram.
+const REPORTS: usize = 12;
+
+/// Shortest time between two urgent rounds on slow targets.
+const NEWS_PAUSE: Duration = Duration::from_millis(30);
+
 const RECEIVE_BUFFER: usize = 2_048;
 
 /// Exchanges datagrams until the process ends.
@@ -45,8 +55,11 @@
     let mut ticks = tokio::time::interval(INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut content = Published::default();
+    let mut last_news = peers.host.now();
     loop {
+        let mut slow = false;
         tokio::select! {
+            () = peers.host.news.notified() => slow = true,
             _ = ticks.tick() => {
                 let outgoing = peers.host.members.borrow_mut().tick(peers.host.now());
                 peers.send(outgoing).await;
@@ -63,7 +76,11 @@
         let now = peers.host.now();
         let own = peers.host.view.borrow().published(now);
         let news = own.content > content.content || own.version > content.version;
-        if news || peers.host.members.borrow_mut().take_urgent() {
+        slow &= now.saturating_duration_since(last_news) >= NEWS_PAUSE;
+        if slow {
+            last_news = now;
+        }
+        if news || slow || peers.host.members.borrow_mut().take_urgent() {
             content = own;
             let outgoing = peers.host.members.borrow_mut().news(now, FANOUT);
             peers.send(outgoing).await;
@@ -79,13 +96,22 @@
 
 impl Peers {
     async fn send(&self, outgoing: Vec<Outgoing>) {
+        if outgoing.is_empty() {
+            return;
+        }
         let now = self.host.now();
+        let slow = self.host.slow_reports(REPORTS);
+        let slow = (!slow.is_empty()).then(|| postcard::to_stdvec(&slow).unwrap_or_default());
         for Outgoing { to, mut datagram } in outgoing {
             let own = self.host.view.borrow().published(now);
             datagram.version = own.version;
             if let Ok(bytes) = postcard::to_stdvec(&own) {
                 datagram.topics.push(Topic { name: VIEW_TOPIC.into(), bytes });
             }
+            // The hosts that are told come first; reports repeat themselves.
+            if let Some(bytes) = slow.clone().filter(|b| b.len() + SLOW_TOPIC.len() + 4 < datagram.room()) {
+                datagram.topics.push(Topic { name: SLOW_TOPIC.into(), bytes });
+            }
             match datagram.encode() {
                 // A datagram may be lost anyway.
                 Ok(bytes) => drop(self.socket.send_to(&bytes, to).await),
@@ -105,10 +131,12 @@
         let now = self.host.now();
         let outgoing = self.host.members.borrow_mut().receive(source, &datagram, now);
         self.send(outgoing).await;
-        let topic = datagram.topics.iter().find(|t| &*t.name == VIEW_TOPIC);
-        let Some(published) = topic.and_then(|t| postcard::from_bytes(&t.bytes).ok()) else {
-            return;
-        };
+        if let Some(reports) = topic::<Vec<SlowReport>>(&datagram, SLOW_TOPIC)
+            && self.host.hear(&reports)
+        {
+            self.host.news.notify_one();
+        }
+        let Some(published) = topic::<Published>(&datagram, VIEW_TOPIC) else { return };
         if self.host.view.borrow().is_behind(&published, now) {
             self.ask_view(datagram.from.address);
         } else {
@@ -148,6 +176,11 @@
     }
 }
 
+fn topic<T: serde::de::DeserializeOwned>(datagram: &Datagram, name: &str) -> Option<T> {
+    let topic = datagram.topics.iter().find(|t| &*t.name == name)?;
+    postcard::from_bytes(&topic.bytes).ok()
+}
+
 /// Takes over what another host knows beyond this one.
 fn learn(host: &Host, peer: SocketAddr, delta: Delta) {
     let version = delta.configuration.as_ref().map_or(0, |c| c.version);
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -8,7 +8,7 @@
 
 use super::admission::Admission;
 use super::cold::ColdLimit;
-use super::replica::{Ending, Replica, Ticket};
+use super::replica::{Ending, Replica, SlowReport, Ticket};
 use crate::Budget;
 
 /// Part of the permitted extra requests that is used.
@@ -115,6 +115,18 @@
         &self.replicas
     }
 
+    /// Whether a target was found to be slow just now.
+    pub fn is_struck(&self, id: &str, now: Instant) -> bool {
+        let replica = self.replicas.iter().find(|r| *r.target().id == *id);
+        replica.is_some_and(|r| r.is_struck(now))
+    }
+
+    /// Takes over what another host reports; true if it is news.
+    pub fn hear(&mut self, report: &SlowReport, now: Instant) -> bool {
+        let replica = self.replicas.iter_mut().find(|r| r.target().id == report.target);
+        replica.is_some_and(|r| r.hear(report, now))
+    }
+
     /// Chooses the target that is expected to answer first, but for those in `tried`.
     ///
     /// `usual` and `overdue` are the times in which the answer is expected and after which it is
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -22,6 +22,6 @@
 pub use cold::ColdLimit;
 pub use cutoff::{Cutoff, Decision};
 pub use readers::{Reading, patience};
-pub use replica::{Ending, Replica, Ticket};
+pub use replica::{Ending, Replica, SlowReport, Ticket};
 pub use split::Split;
 pub use typical::Typical;
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use sapphirerack_catalogue::Name;
 use sapphirerack_routes::Target;
+use serde::{Deserialize, Serialize};
 
 /// Weight of a new latency in a target's slowness.
 const GAIN: f64 = 0.3;
@@ -38,6 +40,28 @@
 /// How much a target in another data centre counts as slower.
 const DISTANCE_WEIGHT: f64 = 3.0;
 
+/// Slow answers in a row from which a target is not just pausing.
+const CERTAIN: u32 = 2;
+
+/// Time between two slow answers that did not wait for the same pause.
+const APART: Duration = Duration::from_millis(80);
+
+/// Time for which a slow answer is told to other hosts.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+
+/// What one host tells the others of a slow target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlowReport {
+    /// Id of the target.
+    pub target: Name,
+    /// Multiple of the usual time that it took.
+    pub slowness: f32,
+    /// Times in a row that it was slow.
+    pub strikes: u32,
+    /// Time since the last answer that was slow, in milliseconds.
+    pub age: u32,
+}
+
 /// A request in hand at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket(u64);
@@ -210,6 +234,57 @@
         self.held.iter().any(|h| now > h.since + h.overdue && self.heard <= h.since)
     }
 
+    /// Whether the target was found to be slow just now, and not for the first time.
+    pub fn is_struck(&self, now: Instant) -> bool {
+        self.struck == Some(now) && self.is_slow()
+    }
+
+    /// What other hosts should know of the target, if it is slow.
+    pub fn report(&self, now: Instant) -> Option<SlowReport> {
+        let age = now.saturating_duration_since(self.observed);
+        let slow = self.strikes > 0 && self.slowness >= SLOW && age < REPORT_LIFE;
+        slow.then(|| SlowReport {
+            target: self.target.id.clone(),
+            slowness: self.slowness as f32,
+            strikes: self.strikes,
+            age: age.as_millis() as u32,
+        })
+    }
+
+    /// Takes note of what another host reports; true if that makes the target count as slow.
+    ///
+    /// One slow answer may come from a pause. Two that came apart, seen by whichever hosts, do not.
+    pub fn hear(&mut self, report: &SlowReport, now: Instant) -> bool {
+        let age = Duration::from_millis(report.age.into());
+        let Some(at) = now.checked_sub(age) else { return false };
+        if at <= self.observed || age > REPORT_LIFE {
+            return false;
+        }
+        let apart = self.struck.is_some_and(|t| at > t + APART && at < t + REPORT_LIFE);
+        let known = self.is_slow();
+        self.strikes = self.strikes.max(report.strikes);
+        if apart {
+            self.strikes = self.strikes.max(1 + u32::from(self.strikes < CERTAIN));
+        }
+        if self.struck.is_none_or(|t| at > t + APART) {
+            self.struck = Some(at);
+        }
+        if !self.is_slow() {
+            return false;
+        }
+        let slowness = f64::from(report.slowness).clamp(1.0, *SLOWNESS.end());
+        if slowness > self.slowness(now) {
+            self.slowness = slowness;
+            self.observed = at;
+        }
+        !known
+    }
+
+    /// Whether the target was slow more often than a pause explains.
+    fn is_slow(&self) -> bool {
+        self.strikes >= CERTAIN
+    }
+
     /// What is believed of the target, for the log.
     pub fn describe(&self, now: Instant) -> String {
         let (id, load, slowness) = (&self.target.id, self.load(), self.slowness(now));
--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -35,6 +35,11 @@
         self.entries.values().filter(|e| e.listed).filter_map(|e| e.last.as_ref())
     }
 
+    /// The last announcement of a target, whether or not it has gone.
+    pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
+        self.entries.get(id).and_then(|e| e.last.as_ref())
+    }
+
     /// Ids that are announced.
     pub fn listed(&self) -> impl Iterator<Item = &Name> {
         self.entries.iter().filter(|(_, e)| e.listed).map(|(id, _)| id)
