Replay the worst loads against the decisions of the direct way

Sixteen tests of policy::direct without I/O: slow, paused and grey targets, reports of slow targets, shares of connections, cold limits and the budget over all hosts, an overloaded shard, the cut at the aim, who reads the store.

--- /dev/null
+++ b/crates/policy/tests/direct.rs
@@ -0,0 +1,311 @@
+//! Loads at their worst, replayed against the decisions of a host that talks to targets itself.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_policy::direct::{
+    Admission, Balance, ColdLimit, Cutoff, Decision, Ending, Reading, Shares, Split, Typical,
+    patience, select,
+};
+use sapphirerack_routes::{Target, Weighted};
+
+const USUAL: Duration = Duration::from_millis(10);
+const OVERDUE: Duration = Duration::from_millis(25);
+const SHARES: Shares = Shares { hosts: 8, extra: 0.2, slack: 56.0 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn target(id: &str, data_centre: &str) -> Arc<Target> {
+    Arc::new(Target {
+        id: id.into(),
+        service: "search".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: data_centre.into(),
+        version: "v1".into(),
+        slots: 2,
+        draining: false,
+        cold: Duration::ZERO,
+        born: 1,
+        sequence: 1,
+    })
+}
+
+fn cold(id: &str) -> Arc<Target> {
+    Arc::new(Target { cold: ms(3_000), ..(*target(id, "here")).clone() })
+}
+
+/// A service with targets in the host's own data centre.
+fn balance(targets: &[Arc<Target>], now: Instant) -> Balance {
+    let mut balance = Balance::new(SHARES, now);
+    balance.update(targets, "here", 0.0, now);
+    balance.set_limit(4);
+    balance
+}
+
+/// Sends `count` requests, one each `gap`, of which those at `slow` take ten times as long; tells
+/// how many went there.
+fn run(balance: &mut Balance, slow: &str, count: u32, gap: Duration, start: Instant) -> u32 {
+    let mut sent = 0;
+    let mut open: Vec<(Instant, _)> = Vec::new();
+    for n in 0..count {
+        let now = start + gap * n;
+        for (_, choice) in open.extract_if(.., |(end, _)| *end <= now) {
+            balance.end(&choice, Ending::Answered, now);
+        }
+        let Some(choice) = balance.choose(&[], USUAL, OVERDUE, now) else { continue };
+        let is_slow = &*choice.target.id == slow;
+        sent += u32::from(is_slow);
+        open.push((now + if is_slow { USUAL * 10 } else { USUAL }, choice));
+    }
+    sent
+}
+
+#[test]
+fn slow_target_gets_few_requests_while_others_answer() {
+    let now = Instant::now();
+    let mut balance =
+        balance(&[target("a", "here"), target("b", "here"), target("c", "here")], now);
+
+    let sent = run(&mut balance, "a", 400, ms(20), now);
+
+    assert!(sent > 0, "it is tried, or its recovery would not be seen");
+    assert!(sent < 400 / 10, "{sent} of 400 requests went to the slow target");
+}
+
+#[test]
+fn paused_target_is_avoided_while_it_is_silent_and_used_soon_after() {
+    let now = Instant::now();
+    let mut balance = balance(&[target("a", "here"), target("b", "far")], now);
+    let first = balance.choose(&[], USUAL, OVERDUE, now).unwrap();
+    assert_eq!(&*first.target.id, "a");
+
+    let during = balance.choose(&[], USUAL, OVERDUE, now + ms(60)).unwrap();
+    balance.end(&during, Ending::Answered, now + ms(70));
+    balance.end(&first, Ending::Answered, now + ms(120));
+    let after = balance.choose(&[], USUAL, OVERDUE, now + ms(1_300)).unwrap();
+
+    assert_eq!(&*during.target.id, "b");
+    assert_eq!(&*after.target.id, "a");
+}
+
+#[test]
+fn reports_of_one_pause_do_not_make_a_target_slow_and_later_ones_do() {
+    let now = Instant::now();
+    let slow = |at: Instant| {
+        let mut other = balance(&[target("a", "here")], at);
+        let choice = other.choose(&[], USUAL, OVERDUE, at).unwrap();
+        other.end(&choice, Ending::Answered, at + ms(120));
+        other.replicas()[0].report(at + ms(125)).unwrap()
+    };
+    let mut own = balance(&[target("a", "here")], now);
+
+    assert!(!own.hear(&slow(now), now + ms(125)));
+    assert!(!own.hear(&slow(now + ms(10)), now + ms(135)), "the same pause");
+    assert!(own.hear(&slow(now + ms(400)), now + ms(525)));
+}
+
+#[test]
+fn target_that_refuses_half_its_requests_gets_less_than_one_that_does_not() {
+    let now = Instant::now();
+    let mut balance = balance(&[target("a", "here"), target("b", "here")], now);
+    let mut sent = 0;
+
+    for n in 0..200 {
+        let at = now + ms(20) * n;
+        let choice = balance.choose(&[], USUAL, OVERDUE, at).unwrap();
+        let grey = &*choice.target.id == "a";
+        sent += u32::from(grey);
+        let ending = if grey && n % 2 == 0 { Ending::Refused } else { Ending::Answered };
+        balance.end(&choice, ending, at + USUAL);
+    }
+
+    assert!(sent < 50, "{sent} of 200 requests went to the grey target");
+}
+
+#[test]
+fn host_keeps_to_its_share_of_a_targets_connections() {
+    let now = Instant::now();
+    let mut balance = balance(&[target("a", "here")], now);
+
+    let sent = (0..100).filter(|_| balance.choose(&[], USUAL, OVERDUE, now).is_some()).count();
+
+    assert_eq!(sent, 4);
+    assert!(!balance.has_room());
+}
+
+#[test]
+fn hosts_together_keep_a_cold_target_within_its_rate() {
+    let (rate, hosts) = (20.0, 8);
+    let now = Instant::now();
+    let mut limits = vec![ColdLimit::new(); hosts];
+
+    for window in 0..5 {
+        let mut sent = 0;
+        for step in 0..100 {
+            let at = now + ms(1_000 * window + 10 * step);
+            sent += limits.iter_mut().filter_map(|l| l.take(rate, hosts, at).then_some(())).count();
+        }
+        assert!(sent as f64 <= rate, "{sent} requests in second {window}");
+    }
+}
+
+#[test]
+fn cold_target_without_room_is_passed_over() {
+    let now = Instant::now();
+    let mut balance = Balance::new(SHARES, now);
+    balance.update(&[cold("a"), target("b", "far")], "here", 8.0, now);
+
+    let ids: Vec<String> = (0..4)
+        .filter_map(|_| balance.choose(&[], USUAL, OVERDUE, now))
+        .map(|c| c.target.id.to_string())
+        .collect();
+
+    assert_eq!(ids.iter().filter(|id| **id == "a").count(), 1);
+}
+
+#[test]
+fn extra_requests_of_all_hosts_stay_within_the_budget_when_everything_fails() {
+    let now = Instant::now();
+    let mut balances: Vec<Balance> = (0..8).map(|_| Balance::new(SHARES, now)).collect();
+    let (mut requests, mut extra) = (0.0, 0.0);
+
+    for _ in 0..500 {
+        for balance in &mut balances {
+            requests += 1.0;
+            balance.earn();
+            extra += f64::from(u8::from(balance.may_retry()));
+            extra += f64::from(u8::from(balance.may_hedge()));
+        }
+    }
+
+    assert!(extra <= 0.2 * requests + 56.0, "{extra} extra for {requests} requests");
+    assert!(extra >= 0.1 * requests, "the budget is used");
+}
+
+/// One shard of two slots at 1.5 times its capacity: parts are in time only while no more are
+/// admitted than it bears. Tells the share of admitted queries whose part was in time, and the
+/// share that was admitted.
+fn overload(seconds: u64) -> (f64, f64) {
+    let start = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut admission = Admission::new(start);
+    let (per_second, capacity) = (150, 100.0);
+    let (mut asked, mut admitted, mut in_time) = (0.0, 0.0, 0.0);
+    let mut backlog: f64 = 0.0;
+    for n in 0..seconds * per_second {
+        let now = start + Duration::from_secs(n) / per_second as u32;
+        backlog = (backlog - capacity / per_second as f64).max(0.0);
+        let take = rng.f64() < admission.share(now);
+        let settled = n >= 5 * per_second;
+        if settled {
+            asked += 1.0;
+        }
+        if !take {
+            continue;
+        }
+        backlog += 1.0;
+        let ok = backlog / capacity < 0.06;
+        admission.record(ok, now);
+        if settled {
+            admitted += 1.0;
+            in_time += f64::from(u8::from(ok));
+        }
+    }
+    (in_time / admitted, admitted / asked)
+}
+
+#[test]
+fn overloaded_shard_is_asked_for_no_more_than_it_answers_in_time() {
+    let (in_time, admitted) = overload(30);
+
+    assert!(in_time > 0.6, "{in_time:.2} of the admitted parts are in time");
+    assert!((0.4..0.8).contains(&admitted), "{admitted:.2} are admitted of 0.67 that fit");
+}
+
+#[test]
+fn shard_that_recovers_is_asked_for_everything_again() {
+    let start = Instant::now();
+    let mut admission = Admission::new(start);
+    for n in 0..100 {
+        admission.record(false, start + ms(n));
+    }
+    assert!(admission.share(start + ms(100)) < 0.2);
+
+    assert_eq!(admission.share(start + ms(10_000)), 1.0);
+}
+
+#[test]
+fn query_does_without_an_overloaded_shard_or_is_refused_at_once() {
+    let draws = [0.5; 10];
+    let mut shares = [1.0; 10];
+
+    assert_eq!(select(&shares, &draws, 9).unwrap().len(), 10);
+    shares[3] = 0.0;
+    assert_eq!(select(&shares, &draws, 9).unwrap().len(), 9);
+    shares[4] = 0.2;
+    assert_eq!(select(&shares, &draws, 9), None);
+}
+
+#[test]
+fn query_answers_at_its_aim_with_enough_and_waits_for_the_rest_before() {
+    let now = Instant::now();
+    let (aim, deadline) = (now + ms(90), now + ms(900));
+    let cutoff = Cutoff { total: 10, least: 9, aim, deadline };
+
+    assert_eq!(cutoff.decide(9, 1, now), Decision::Wait(aim));
+    assert_eq!(cutoff.decide(9, 1, aim), Decision::Answer);
+    assert_eq!(cutoff.decide(10, 0, now), Decision::Answer);
+    assert_eq!(cutoff.decide(8, 2, aim), Decision::Wait(deadline));
+    assert_eq!(cutoff.decide(9, 0, now), Decision::Answer, "nothing else will come");
+    assert_eq!(cutoff.decide(8, 0, now), Decision::GiveUp);
+    assert_eq!(cutoff.decide(8, 2, deadline), Decision::GiveUp);
+}
+
+#[test]
+fn stragglers_do_not_raise_the_time_by_which_they_are_found() {
+    let mut typical = Typical::new(ms(20));
+
+    for n in 0..1_000 {
+        typical.record(if n % 20 == 0 { ms(2_000) } else { ms(10) });
+    }
+
+    assert!(typical.overdue() < ms(45), "{:?}", typical.overdue());
+    assert!(typical.overdue() > ms(15));
+}
+
+#[test]
+fn split_keeps_its_shares_over_few_requests() {
+    let weighted = |service: &str, weight| Weighted { service: service.into(), weight };
+    let services = [weighted("old", 0.9), weighted("new", 0.1), weighted("none", 0.0)];
+    let mut split = Split::default();
+
+    let new = (0..20).filter(|_| &**split.next(&services).unwrap() == "new").count();
+
+    assert_eq!(new, 2);
+    assert_eq!(split.next(&[]), None);
+}
+
+#[test]
+fn one_host_reads_for_all_and_another_follows_when_it_is_gone() {
+    let first = patience(0, 0);
+    let first_elsewhere = patience(3, 0);
+    let second = patience(1, 1);
+
+    assert!(first < first_elsewhere && first_elsewhere < second);
+    assert!(second < Duration::from_secs(3), "before a draining target must be known");
+    assert!(patience(74, 24) > second);
+}
+
+#[test]
+fn reader_of_a_store_that_is_away_pauses_longer_each_time_up_to_a_bound() {
+    let mut reading = Reading::default();
+
+    let pauses: Vec<Duration> = (0..6).map(|_| reading.failed(ms(850))).collect();
+
+    assert!(pauses.windows(2).all(|p| p[0] <= p[1]));
+    assert!(pauses[5] <= ms(1_500));
+    reading.succeeded();
+    assert_eq!(reading.failed(ms(850)), pauses[0]);
+}
