Test a host between stand-ins that speak the platform's protocols

Fourteen tests on the real process: merged parts, garbled, foreign, unsigned and cut answers, requests that must not be repeated, refusals, deadlines, draining and forged entries, closed data centres, lapsed entries, versions, stops, a log that nobody reads.

--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -45,6 +45,8 @@
     pub metrics: Metrics,
     /// Lines on requests that failed.
     pub failures: LogLimit,
+    /// Lines on requests without a route.
+    pub strays: LogLimit,
     /// Lines on answers that lack parts.
     pub shortages: LogLimit,
     pub view: RefCell<View>,
@@ -78,6 +80,7 @@
             clock,
             metrics,
             failures: LogLimit::default(),
+            strays: LogLimit::default(),
             shortages: LogLimit::default(),
             view: RefCell::default(),
             members: RefCell::new(members),
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -59,7 +59,13 @@
     let name = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let name = name.or(head.uri.authority().map(|a| a.as_str())).unwrap_or_default();
     let Some(route) = table.find(name, head.uri.path()).cloned() else {
-        log::info!("event=no_route host=\"{name}\" path=\"{}\"", head.uri.path());
+        if let Some(suppressed) = host.strays.admit(host.now()) {
+            let (path, version) = (head.uri.path(), table.configuration().version);
+            log::info!(
+                "event=no_route host=\"{name}\" path=\"{path}\" version={version} \
+                 suppressed={suppressed}"
+            );
+        }
         return empty(404);
     };
     let Some(id) = head.headers.get(&host.dialect.headers.attempt).cloned() else {
--- /dev/null
+++ b/crates/sapphirerack/tests/platform.rs
@@ -0,0 +1,266 @@
+//! A host on the users' platform, between stand-ins that speak its protocols.
+
+mod platform_support;
+
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+use platform_support::{Host, Manner, Store, Target, configuration, wait_until};
+
+const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
+
+/// A host with three shards of two targets each and a desk of two.
+struct Setup {
+    store: Store,
+    shards: Vec<[Target; 2]>,
+    desk: [Target; 2],
+    host: Host,
+}
+
+fn setup() -> Setup {
+    setup_with(Stdio::null())
+}
+
+fn setup_with(out: Stdio) -> Setup {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &SHARDS, "desk"));
+    let pair = |records: &[u8]| [(); 2].map(|()| Target::start(records, Manner::Good));
+    let shards = vec![pair(&[1, 9]), pair(&[7]), pair(&[8, 3])];
+    let desk = pair(&[5]);
+    for (name, targets) in SHARDS.iter().zip(&shards) {
+        announce(&store, name, targets);
+    }
+    announce(&store, "desk", &desk);
+    let host = Host::start_with(&store, out);
+    host.await_ready();
+    Setup { store, shards, desk, host }
+}
+
+fn announce(store: &Store, service: &str, targets: &[Target]) {
+    for target in targets {
+        store.put(&format!("servers/{}", target.id), &target.announcement(service));
+    }
+}
+
+fn set(targets: &[Target], manner: Manner) {
+    targets.iter().for_each(|t| t.set(manner));
+}
+
+fn arrivals(targets: &[Target]) -> usize {
+    targets.iter().map(|t| t.requests().len()).sum()
+}
+
+fn records(body: &[u8]) -> Vec<u8> {
+    body.chunks(16).map(|r| r[0]).collect()
+}
+
+#[test]
+fn parts_of_all_shards_are_merged_and_their_signatures_named() {
+    let setup = setup();
+
+    let answer = setup.host.get("/query/a?b=c");
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(records(&answer.body), [9, 8, 7, 3]);
+    assert_eq!(answer.header("missing-parts"), Some("0"));
+    let seals: Vec<&str> = answer.header("part-seals").unwrap().split(", ").collect();
+    assert_eq!(seals.len(), 3);
+    let asked = setup.shards.iter().flatten().flat_map(Target::requests).next().unwrap();
+    assert_eq!(asked.path(), "/query/a?b=c");
+    let budget: u64 = asked.header("time-budget").unwrap().parse().unwrap();
+    assert!(budget <= 1500);
+}
+
+#[test]
+fn shard_whose_targets_fail_is_left_out_and_counted() {
+    let setup = setup();
+    for manner in [Manner::Foreign, Manner::Unsigned, Manner::Cut, Manner::Lose, Manner::Vague] {
+        set(&setup.shards[1], manner);
+
+        let answer = setup.host.get("/query/a");
+
+        assert_eq!(answer.status(), 200, "{manner:?}");
+        assert_eq!(records(&answer.body), [9, 8, 3, 1], "{manner:?}");
+        assert_eq!(answer.header("missing-parts"), Some("1"), "{manner:?}");
+    }
+}
+
+#[test]
+fn second_answer_on_a_connection_reaches_nobody() {
+    let setup = setup();
+    set(&setup.desk, Manner::Twice);
+
+    for n in 0..10 {
+        let answer = setup.host.send("GET", "/read/x", &format!("attempt-{n}"), "").unwrap();
+
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.header("attempt-id"), Some(format!("attempt-{n}").as_str()));
+    }
+}
+
+#[test]
+fn request_that_must_not_be_repeated_is_sent_once_when_its_answer_is_lost() {
+    for manner in [Manner::Lose, Manner::Cut, Manner::Foreign, Manner::Vague, Manner::Unsigned] {
+        let setup = setup();
+        set(&setup.desk, manner);
+
+        let answer = setup.host.send("POST", "/book/x", "attempt-1", "body").unwrap();
+
+        assert_eq!(answer.status(), 502, "{manner:?}: it may have run");
+        assert_eq!(arrivals(&setup.desk), 1, "{manner:?}");
+    }
+}
+
+#[test]
+fn request_that_was_refused_as_not_run_goes_to_another_target() {
+    let setup = setup();
+    setup.desk[0].set(Manner::Refuse);
+
+    for n in 0..6 {
+        let answer = setup.host.send("POST", "/book/x", &format!("attempt-{n}"), "body").unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+
+    assert!(setup.desk[1].requests().iter().all(|r| r.body == b"body"));
+}
+
+#[test]
+fn refusal_by_all_targets_is_passed_on_with_a_time_to_come_back() {
+    let setup = setup();
+    set(&setup.desk, Manner::Refuse);
+
+    let answer = setup.host.send("POST", "/book/x", "attempt-1", "body").unwrap();
+
+    assert_eq!(answer.status(), 503);
+    let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0 && after < 2.0);
+}
+
+#[test]
+fn request_without_an_answer_ends_at_its_deadline() {
+    let setup = setup();
+    set(&setup.desk, Manner::Slow(Duration::from_secs(20)));
+
+    let answer = setup.host.send("POST", "/book/x", "attempt-1", "body").unwrap();
+
+    assert_eq!(answer.status(), 504);
+    assert_eq!(arrivals(&setup.desk), 1);
+}
+
+#[test]
+fn host_without_configuration_says_so_and_unknown_routes_are_not_found() {
+    let store = Store::start();
+    let host = Host::start(&store);
+    wait_until(|| host.send("GET", "/read/x", "attempt-1", "").is_some());
+
+    let early = host.get("/read/x");
+    assert_eq!(early.status(), 503);
+    assert!(early.header("retry-after").is_some());
+    assert!(!host.is_ready());
+
+    store.put("op/config", &configuration(1, &SHARDS, "desk"));
+    host.await_ready();
+    assert_eq!(host.get("/nowhere/x").status(), 404);
+}
+
+#[test]
+fn draining_and_forged_entries_get_no_requests() {
+    let setup = setup();
+    let mut leaving = setup.desk[0].announcement("desk");
+    leaving["State"] = "draining".into();
+    leaving["Seq"] = 2.into();
+    setup.store.put(&format!("servers/{}", setup.desk[0].id), &leaving);
+    setup.store.put_bytes("servers/i-forged", b"\xff\xfe".to_vec());
+    let known = || {
+        let before = setup.desk[0].requests().len();
+        (0..8).for_each(|_| drop(setup.host.get("/read/x")));
+        setup.desk[0].requests().len() == before
+    };
+    wait_until(known);
+
+    let before = setup.desk[0].requests().len();
+    for _ in 0..30 {
+        assert_eq!(setup.host.get("/read/x").status(), 200);
+    }
+
+    assert_eq!(setup.desk[0].requests().len(), before);
+}
+
+#[test]
+fn closed_data_centre_gets_no_requests_until_it_is_opened() {
+    let setup = setup();
+    setup.store.put("op/evacuate/here", &serde_json::json!({}));
+    wait_until(|| setup.host.get("/read/x").status() == 503);
+
+    let before = arrivals(&setup.desk);
+    assert_eq!(setup.host.get("/read/x").status(), 503);
+    assert_eq!(arrivals(&setup.desk), before);
+
+    setup.store.remove("op/evacuate/here");
+    wait_until(|| setup.host.get("/read/x").status() == 200);
+}
+
+#[test]
+fn targets_that_lapsed_with_the_store_are_used_until_it_is_sure_that_they_have_gone() {
+    let setup = setup();
+    setup.store.set_away(true);
+    thread::sleep(Duration::from_millis(1_500));
+    for target in &setup.desk {
+        setup.store.remove(&format!("servers/{}", target.id));
+    }
+    setup.store.forget_history();
+    setup.store.set_away(false);
+
+    assert_eq!(setup.host.get("/read/x").status(), 200);
+
+    wait_until(|| setup.host.get("/read/x").status() == 503);
+    let mut back = setup.desk[0].announcement("desk");
+    back["Seq"] = 9.into();
+    setup.store.put(&format!("servers/{}", setup.desk[0].id), &back);
+    wait_until(|| setup.host.get("/read/x").status() == 200);
+}
+
+#[test]
+fn older_configuration_is_not_taken_and_a_newer_one_is_in_force_soon() {
+    let setup = setup();
+    setup.store.put("op/config", &configuration(2, &SHARDS, "nobody"));
+    let mut newer = configuration(5, &SHARDS, "desk");
+    newer["Routes"][1]["Prefix"] = "/fetch/".into();
+
+    assert_eq!(setup.host.get("/read/x").status(), 200);
+    setup.store.put("op/config", &newer);
+
+    wait_until(|| setup.host.get("/fetch/x").status() == 200);
+    assert_eq!(setup.host.get("/read/x").status(), 404);
+}
+
+#[test]
+fn stopping_host_answers_what_it_has_and_ends() {
+    let mut setup = setup();
+    set(&setup.desk, Manner::Slow(Duration::from_millis(600)));
+    let answer = thread::scope(|scope| {
+        let asked = scope.spawn(|| setup.host.get("/read/x"));
+        wait_until(|| arrivals(&setup.desk) > 0);
+        setup.host.terminate();
+        asked.join().unwrap()
+    });
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(setup.host.join());
+}
+
+#[test]
+fn host_serves_while_nobody_reads_its_log() {
+    let mut setup = setup_with(Stdio::piped());
+    let _unread = setup.host.output();
+    set(&setup.desk, Manner::Refuse);
+    // Each of these writes a line; together they exceed what a pipe holds.
+    for _ in 0..2_000 {
+        assert_eq!(setup.host.send("GET", "/nowhere/x", "attempt-1", "").unwrap().status(), 404);
+    }
+
+    set(&setup.desk, Manner::Good);
+    wait_until(|| setup.host.get("/read/x").status() == 200);
+}
