--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -82,7 +82,16 @@
     service: &Name,
     attempts: &Attempts,
 ) -> Option<Outcome> {
-    let mut asking = Asking { host, call, service, attempts, tried: Vec::new(), running: Vec::new(), runs: 0, hedge: None };
+    let mut asking = Asking {
+        host,
+        call,
+        service,
+        attempts,
+        tried: Vec::new(),
+        running: Vec::new(),
+        runs: 0,
+        hedge: None,
+    };
     host.balance(service, |b| b.earn());
     let mut running = FuturesUnordered::new();
     running.push(asking.start()?);
@@ -140,8 +149,7 @@
 impl Asking<'_> {
     fn start(&mut self) -> Option<Running> {
         let now = self.host.now();
-        let (usual, overdue) =
-            self.host.typical(&self.call.route, |t| (t.mean(), t.overdue()));
+        let (usual, overdue) = self.host.typical(&self.call.route, |t| (t.mean(), t.overdue()));
         let tried = &self.tried;
         let choose = |b: &mut Balance| {
             let fresh = b.choose(tried, usual, overdue, now);
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -159,7 +159,12 @@
     }
 
     /// Keeps a connection that has answered, unless `limit` are kept or it ends.
-    pub(crate) fn put(self: &Rc<Self>, connection: Connection, head: &response::Parts, limit: usize) {
+    pub(crate) fn put(
+        self: &Rc<Self>,
+        connection: Connection,
+        head: &response::Parts,
+        limit: usize,
+    ) {
         if head.headers.get(CONNECTION).is_some_and(is_close) {
             return;
         }
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -169,7 +169,11 @@
     }
 
     /// Runs `f` on the targets of a service; `None` if the service is not known.
-    pub(crate) fn balance<T>(&self, service: &Name, f: impl FnOnce(&mut Balance) -> T) -> Option<T> {
+    pub(crate) fn balance<T>(
+        &self,
+        service: &Name,
+        f: impl FnOnce(&mut Balance) -> T,
+    ) -> Option<T> {
         self.services.borrow_mut().get_mut(service).map(f)
     }
 
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -109,7 +109,9 @@
                 datagram.topics.push(Topic { name: VIEW_TOPIC.into(), bytes });
             }
             // The hosts that are told come first; reports repeat themselves.
-            if let Some(bytes) = slow.clone().filter(|b| b.len() + SLOW_TOPIC.len() + 4 < datagram.room()) {
+            if let Some(bytes) =
+                slow.clone().filter(|b| b.len() + SLOW_TOPIC.len() + 4 < datagram.room())
+            {
                 datagram.topics.push(Topic { name: SLOW_TOPIC.into(), bytes });
             }
             match datagram.encode() {
@@ -274,9 +276,7 @@
     let now = host.now();
     let answer = match question {
         Ask::View(other) => Reported::View(Box::new(host.view.borrow().delta(&other, now))),
-        Ask::Peers(data_centre) => {
-            Reported::Peers(host.members.borrow().view(&data_centre, now))
-        }
+        Ask::Peers(data_centre) => Reported::Peers(host.members.borrow().view(&data_centre, now)),
     };
     write(&mut stream, &answer, peer).await
 }
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -49,9 +49,9 @@
     attempts: &Attempts,
 ) -> Gathered {
     let Some(asked) = admitted(host, gather) else { return Gathered::Refused };
-    let shards = asked.iter().map(|shard| async {
-        (*shard, ask(host, call, &gather.shards[*shard], attempts).await)
-    });
+    let shards = asked
+        .iter()
+        .map(|shard| async { (*shard, ask(host, call, &gather.shards[*shard], attempts).await) });
     let mut open: FuturesUnordered<_> = shards.collect();
     let distance = host.settings.borrow().queries.distance;
     let aim = aim.checked_sub(distance + ANSWER_TIME).unwrap_or(aim);
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -50,7 +50,12 @@
     reply
 }
 
-async fn respond(host: &Rc<Host>, request: Request<Incoming>, fresh: bool, start: Instant) -> Reply {
+async fn respond(
+    host: &Rc<Host>,
+    request: Request<Incoming>,
+    fresh: bool,
+    start: Instant,
+) -> Reply {
     let table = host.view.borrow().table().clone();
     if table.configuration().version == 0 {
         return refuse(503, START_TIME);
@@ -197,9 +202,7 @@
             reply
         }
         Some(Outcome::NotRun(_)) | None => refused(host, call, attempts),
-        Some(Outcome::Unknown(reason)) => {
-            failure(host, call, 502, &reason, attempts, host.now())
-        }
+        Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts, host.now()),
     }
 }
 
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -82,10 +82,8 @@
         data_centre: settings.data_centre.clone(),
         address: settings.listen.hosts,
     };
-    let timing =
-        Timing { interval: peers::INTERVAL, suspicion: SUSPICION, ..Timing::default() };
-    let mut members =
-        Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
+    let timing = Timing { interval: peers::INTERVAL, suspicion: SUSPICION, ..Timing::default() };
+    let mut members = Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
     members.set_seeds(settings.seed_hosts());
     members
 }
@@ -100,9 +98,10 @@
             continue;
         }
         last = now;
-        match fs::read_to_string(&path).map_err(|e| e.to_string()).and_then(|text| {
-            from_text(&text).map_err(|e| e.to_string())
-        }) {
+        match fs::read_to_string(&path)
+            .map_err(|e| e.to_string())
+            .and_then(|text| from_text(&text).map_err(|e| e.to_string()))
+        {
             Ok(settings) => {
                 host.members.borrow_mut().set_seeds(settings.seed_hosts());
                 let changed = *host.settings.borrow() != settings;
--- a/crates/host/src/bookings.rs
+++ b/crates/host/src/bookings.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Name;
-use sapphirerack_http::{Request, Response};
 use sapphirerack_clients::Store;
+use sapphirerack_http::{Request, Response};
 use sapphirerack_policy::booking::{KeyId, Runner, Verdict};
 use sapphirerack_policy::{Clock, rank};
 use sapphirerack_protocol::{Booking, Reply, Request as HostRequest};
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use sapphirerack_http::Server;
 use sapphirerack_clients::Store;
+use sapphirerack_http::Server;
 use sapphirerack_policy::{Clock, SystemClock, Timing};
 use sapphirerack_repository::Repository;
 
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -12,8 +12,8 @@
 
 use fastrand::Rng;
 use sapphirerack_catalogue::Map;
-use sapphirerack_http::{Method, Request};
 use sapphirerack_clients::HostEntry;
+use sapphirerack_http::{Method, Request};
 use tokio::sync::watch;
 
 use crate::server::{Gate, Listener, Reply};
--- a/crates/lab/tests/store.rs
+++ b/crates/lab/tests/store.rs
@@ -3,9 +3,9 @@
 use std::thread;
 use std::time::Duration;
 
+use sapphirerack_clients::{Category, HostEntry, HostState, Store};
 use sapphirerack_lab::fleet::LOOPBACK;
 use sapphirerack_lab::store::StoreServer;
-use sapphirerack_clients::{Category, HostEntry, HostState, Store};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -1,5 +1,7 @@
 //! Loads at their worst, replayed against the decisions of a host that talks to targets itself.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -1,5 +1,7 @@
 //! Which announcement of a target wins, and what hosts pass on.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
 use std::time::{Duration, Instant};
 
 use sapphirerack_routes::{Configuration, Published, Registry, Target, View};
@@ -153,8 +155,8 @@
             }
         }
 
-        for at in 0..views.len() {
-            exchange(&truth, &mut views[at], now);
+        for view in &mut views {
+            exchange(&truth, view, now);
         }
 
         for view in &views {
--- a/crates/sapphirerack/tests/deployments.rs
+++ b/crates/sapphirerack/tests/deployments.rs
@@ -5,9 +5,9 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use sapphirerack_clients::Store;
 use sapphirerack_lab::fleet::{Fleet, HostProcess, Plan};
 use sapphirerack_lab::target::Behaviour;
-use sapphirerack_clients::Store;
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -1,5 +1,7 @@
 //! A host on the users' platform, between stand-ins that speak its protocols.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
 mod platform_support;
 
 use std::process::Stdio;
--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins that speak the users' platform's protocols, and a host process between them.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::BTreeMap;
@@ -155,8 +156,9 @@
     let prefix = value("Prefix");
     if path.starts_with("/kv-range") {
         let rows = items.values.iter().filter(|(k, _)| k.starts_with(&prefix));
-        let rows: Vec<Value> =
-            rows.map(|(k, (v, r))| json!({ "Key": k, "Value": base64(v), "Revision": r })).collect();
+        let rows: Vec<Value> = rows
+            .map(|(k, (v, r))| json!({ "Key": k, "Value": base64(v), "Revision": r }))
+            .collect();
         let body = json!({ "items": rows, "HasMore": false, "StoreRevision": items.revision });
         return answer("200 OK", &[], body.to_string().as_bytes());
     }
@@ -310,8 +312,10 @@
         fields.extend(rest.as_object().unwrap().clone());
         route
     };
-    let service = |name: &&str| json!({ "Name": name, "HealthPath": "/health", "MaxConns": 40,
-        "Protocol": "h1", "Tls": false, "WarmupS": 3.0, "WarmupPerS": 0.0 });
+    let service = |name: &&str| {
+        json!({ "Name": name, "HealthPath": "/health", "MaxConns": 40,
+        "Protocol": "h1", "Tls": false, "WarmupS": 3.0, "WarmupPerS": 0.0 })
+    };
     let services: Vec<Value> = shards.iter().chain([&desk]).map(service).collect();
     json!({
         "Version": version,
--- a/crates/sapphirerack/tests/rolling.rs
+++ b/crates/sapphirerack/tests/rolling.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use sapphirerack_lab::fleet::{Fleet, HostProcess, Plan, Shape};
 use sapphirerack_clients::{HostEntry, HostState};
+use sapphirerack_lab::fleet::{Fleet, HostProcess, Plan, Shape};
 use serde_json::{Value, json};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
