--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -20,7 +20,7 @@
 const RECORD: usize = 16;
 
 /// Time that this host needs from the decision to answer until the answer has left.
-const ANSWER_TIME: Duration = Duration::from_millis(7);
+const ANSWER_TIME: Duration = Duration::from_millis(12);
 
 type Record = [u8; RECORD];
 
