Say 'not run' only if no target may have run the request

Cause: an idempotent request whose first target lost the answer and whose second one refused was answered 503, which says that it has not run. The new test of a refusal after a lost answer failed before (503) and passes.

--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -114,7 +114,10 @@
         }
         asking.failed(&target, &outcome);
         let again = asking.retry(&outcome);
-        last = Some(outcome);
+        // A later refusal must not hide that an earlier target may have run the request.
+        if last.is_none() || !matches!(outcome, Outcome::NotRun(_)) {
+            last = Some(outcome);
+        }
         if let Some(second) = again {
             running.push(second);
         }
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -83,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// The request may have been run, unless [`Failed::unsent`] says otherwise.
+    /// The request may have run, unless [`Failed::unsent`] says otherwise.
     pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -159,12 +158,7 @@
     }
 
     /// Keeps a connection that has answered, unless `limit` are kept or it ends.
-    pub(crate) fn put(
-        self: &Rc<Self>,
-        connection: Connection,
-        head: &response::Parts,
-        limit: usize,
-    ) {
+    pub(crate) fn put(&self, connection: Connection, head: &response::Parts, limit: usize) {
         if head.headers.get(CONNECTION).is_some_and(is_close) {
             return;
         }
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -1,7 +1,6 @@
 //! What the parts of a host share.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -51,7 +50,7 @@
     pub shortages: LogLimit,
     pub view: RefCell<View>,
     pub members: RefCell<Membership>,
-    pub pool: Rc<Pool>,
+    pub pool: Pool,
     /// Rings when other hosts should hear at once of a slow target.
     pub news: Notify,
     /// Rings when the host was told to stop.
@@ -84,7 +83,7 @@
             shortages: LogLimit::default(),
             view: RefCell::default(),
             members: RefCell::new(members),
-            pool: Rc::default(),
+            pool: Pool::default(),
             news: Notify::new(),
             stopping: Notify::new(),
             ending: Notify::new(),
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -1,7 +1,6 @@
 //! One request of a caller, from its route to its answer.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use sapphirerack_routes::{Action, Gather, Route, RouteTable};
+use sapphirerack_routes::{Action, Gather, Route};
 
 use crate::ask::{Attempts, ask};
 use crate::attempt::{Call, Outcome};
@@ -40,7 +39,7 @@
 /// Time after which a caller comes back to a host that has no configuration yet, in seconds.
 const START_TIME: f64 = 0.5;
 
-/// Answers a request that came on a connection accepted or last used at `since`.
+/// Answers a request; `fresh` says that its connection was opened for it.
 pub(crate) async fn answer(host: Rc<Host>, request: Request<Incoming>, fresh: bool) -> Reply {
     let start = host.now();
     let mut reply = respond(&host, request, fresh, start).await;
@@ -92,7 +91,7 @@
         deadline: start + wait,
         route: route.clone(),
     });
-    let reply = run(host, &call, &table, fresh, start).await;
+    let reply = run(host, &call, fresh, start).await;
     host.metrics.answered(&route.name, reply.status().as_u16(), host.now() - start);
     reply
 }
@@ -126,13 +125,7 @@
     passed
 }
 
-async fn run(
-    host: &Rc<Host>,
-    call: &Rc<Call>,
-    table: &Arc<RouteTable>,
-    fresh: bool,
-    start: Instant,
-) -> Reply {
+async fn run(host: &Rc<Host>, call: &Rc<Call>, fresh: bool, start: Instant) -> Reply {
     let attempts = Attempts::default();
     let reply = match &call.route.action {
         Action::Forward(services) => {
@@ -145,13 +138,12 @@
             };
             match tokio::time::timeout_at(call.deadline.into(), asked).await {
                 Ok(outcome) => forward_reply(host, call, outcome, &attempts),
-                Err(_) => failure(host, call, 504, "deadline", &attempts, start),
+                Err(_) => failure(host, call, 504, "deadline", &attempts),
             }
         }
         Action::Gather(shards) => gathered(host, call, shards, fresh, start, &attempts).await,
     };
     attempts.answered();
-    let _ = table;
     reply
 }
 
@@ -183,7 +175,7 @@
         Gathered::Short { parts } => {
             let reason = format!("parts={parts}/{}", shards.shards.len());
             let status = if host.now() >= call.deadline { 504 } else { 502 };
-            failure(host, call, status, &reason, attempts, start)
+            failure(host, call, status, &reason, attempts)
         }
     }
 }
@@ -202,7 +194,7 @@
             reply
         }
         Some(Outcome::NotRun(_)) | None => refused(host, call, attempts),
-        Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts, host.now()),
+        Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts),
     }
 }
 
@@ -214,14 +206,7 @@
     refuse(503, after)
 }
 
-fn failure(
-    host: &Host,
-    call: &Call,
-    status: u16,
-    reason: &str,
-    attempts: &Attempts,
-    _start: Instant,
-) -> Reply {
+fn failure(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) -> Reply {
     log_failure(host, call, status, reason, attempts);
     empty(status)
 }
--- a/crates/sapphirerack/src/check.rs
+++ b/crates/sapphirerack/src/check.rs
@@ -16,6 +16,7 @@
 
 fn options(options: &mut Options) {
     options.optflag("", "catalogue", "the file is a catalogue");
+    options.optflag("", "forward", "the file holds settings of `forward`");
 }
 
 fn run(args: &Args) -> Result<()> {
@@ -24,6 +25,9 @@
     if args.is_set("catalogue") {
         let checked = sapphirerack_catalogue::from_text(&text);
         checked.map_err(|e| Error::File(format!("{path}: {e}")))?;
+    } else if args.is_set("forward") {
+        let checked = sapphirerack_forward::from_text(&text);
+        checked.map_err(|e| Error::File(format!("{path}: {e}")))?;
     } else {
         let checked = sapphirerack_host::from_text(&text);
         checked.map_err(|e| Error::File(format!("{path}: {e}")))?;
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -139,6 +139,22 @@
     assert!(after > 0.0 && after < 2.0);
 }
 
+#[test]
+fn refusal_after_a_lost_answer_does_not_say_that_the_request_has_not_run() {
+    let setup = setup();
+    setup.desk[0].set(Manner::Lose);
+    setup.desk[1].set(Manner::Refuse);
+
+    for n in 0..6 {
+        let before = setup.desk[0].requests().len();
+        let answer = setup.host.send("GET", "/read/x", &format!("attempt-{n}"), "").unwrap();
+
+        let ran = setup.desk[0].requests().len() > before;
+        assert!(!ran || answer.status() == 502, "{}", answer.status());
+    }
+    assert!(!setup.desk[0].requests().is_empty());
+}
+
 #[test]
 fn request_without_an_answer_ends_at_its_deadline() {
     let setup = setup();
