Keep operators' orders by one mechanism, and hold new versions back

Cause: closings of data centres had a merge of their own, with the fault that removals had (a change that says what is known was not passed on); an order to move a service to a new version was not read, so that its targets would have got a full share of the traffic, good or bad. Change: routes::Orders; a new version gets no requests while older targets are there.

--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderName;
 use hyper::http::response;
 use sapphirerack_catalogue::Name;
-use sapphirerack_routes::{Configuration, Target};
+use sapphirerack_routes::{Configuration, Order, Target};
 
 /// Names and encodings of one platform.
 #[derive(Clone, Debug)]
@@ -93,8 +93,8 @@
     Configuration(Configuration),
     /// An announcement of a target; `None` if it names none that can be used.
     Target(Name, Option<Target>),
-    /// A data centre whose targets get no new requests, as long as the item exists.
-    Closing(Name),
+    /// An operator's order, which stands as long as the item exists; `None` if it was taken back.
+    Order(Option<Order>),
     /// Nothing that matters here.
     Other,
     /// Something that matters and can't be read, with the reason.
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -6,7 +6,7 @@
 
 use sapphirerack_catalogue::{Name, Set};
 use sapphirerack_policy::direct::{Reading, patience};
-use sapphirerack_routes::{Closing, Lapses};
+use sapphirerack_routes::{Lapses, OrderChange};
 
 use crate::host::Host;
 use crate::peers::learn_first;
@@ -145,17 +145,14 @@
             }
         }
         let mut targets: Set<Name> = Set::default();
-        let mut closed: Set<Name> = Set::default();
         for event in found {
             keys.insert(event.key.clone());
-            match self.read_item(&event) {
-                Item::Target(id, _) => drop(targets.insert(id)),
-                Item::Closing(name) => drop(closed.insert(name)),
-                _ => {}
+            if let Item::Target(id, _) = self.read_item(&event) {
+                targets.insert(id);
             }
             self.apply(event);
         }
-        self.drop_missing(&targets, &closed, content, synced, start);
+        self.drop_missing(&targets, &keys, content, synced, start);
         self.host.view.borrow_mut().confirm(synced, start);
         self.host.view_changed();
         log::info!("event=store_listed synced={synced} keys={}", keys.len());
@@ -166,7 +163,7 @@
     fn drop_missing(
         &mut self,
         targets: &Set<Name>,
-        closed: &Set<Name>,
+        keys: &Set<String>,
         content: u64,
         synced: u64,
         now: Instant,
@@ -184,10 +181,11 @@
         } else {
             view.doubt(content);
         }
-        let opened: Vec<Name> = view.closed().filter(|n| !closed.contains(*n)).cloned().collect();
-        for data_centre in opened {
-            log::info!("event=data_centre_opened data_centre={data_centre} revision={synced}");
-            view.close(Closing { data_centre, revision: synced, closed: false });
+        let standing = view.orders().standing().map(|(key, _)| key);
+        let ended: Vec<Name> = standing.filter(|k| !keys.contains(&***k)).cloned().collect();
+        for key in ended {
+            log::info!("event=order_ended key={key} revision={synced} found=listing");
+            view.orders_mut().apply(OrderChange { key, revision: synced, order: None });
         }
     }
 
@@ -235,16 +233,14 @@
                 }
                 changed
             }
-            Item::Closing(data_centre) => {
-                let changed = view.close(Closing {
-                    data_centre: data_centre.clone(),
-                    revision,
-                    closed: !gone,
-                });
+            Item::Order(order) => {
+                let change = OrderChange { key: event.key.as_str().into(), revision, order };
+                let described = format!("{:?}", change.order);
+                let changed = view.orders_mut().apply(change);
                 if changed {
                     log::info!(
-                        "event=data_centre_closed data_centre={data_centre} closed={}",
-                        !gone
+                        "event=order key={} order=\"{described}\" revision={revision}",
+                        event.key
                     );
                 }
                 changed
--- a/crates/routes/src/change.rs
+++ b/crates/routes/src/change.rs
@@ -3,7 +3,7 @@
 use sapphirerack_catalogue::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{Configuration, Target};
+use crate::{Configuration, OrderChange, Target};
 
 /// The last change of one target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,17 +18,6 @@
     pub listed: bool,
 }
 
-/// The last change of a data centre's closing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Closing {
-    /// The data centre.
-    pub data_centre: Name,
-    /// Revision of the change.
-    pub revision: u64,
-    /// Whether its targets get no new requests.
-    pub closed: bool,
-}
-
 /// What a host knows beyond another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Delta {
@@ -36,8 +25,8 @@
     pub configuration: Option<Configuration>,
     /// Changed targets.
     pub targets: Vec<Change>,
-    /// Data centres that were closed or opened.
-    pub closings: Vec<Closing>,
+    /// Changed orders.
+    pub orders: Vec<OrderChange>,
     /// Revision of the store up to which all of this is known.
     pub synced: u64,
     /// Age of that knowledge, in milliseconds.
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -21,22 +21,25 @@
 //! - `table`: finds the route of a request
 //! - `target`: one target as it announces itself
 //! - `registry`: all targets, and which announcement wins
-//! - `view`: what a host knows: configuration, registry, closed data centres
+//! - `view`: what a host knows: configuration, registry, operators' orders
+//! - `order`: operators' orders that change where requests may go
 //! - `lapse`: removals that may be the store's fault
 //! - `change`: what hosts tell each other of the view
 
 mod change;
 mod configuration;
 mod lapse;
+mod order;
 mod registry;
 mod route;
 mod table;
 mod target;
 mod view;
 
-pub use crate::change::{Change, Closing, Delta};
+pub use crate::change::{Change, Delta};
 pub use crate::configuration::{Configuration, Limits, Service};
 pub use crate::lapse::Lapses;
+pub use crate::order::{Order, OrderChange, Orders};
 pub use crate::registry::Registry;
 pub use crate::route::{Action, Gather, Route, Weighted};
 pub use crate::table::RouteTable;
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -1,19 +1,18 @@
-//! What a host knows: configuration, registry, closed data centres.
+//! What a host knows: configuration, registry, operators' orders.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::{Map, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::{Closing, Configuration, Delta, Registry, RouteTable, Target};
+use crate::{Configuration, Delta, Orders, Registry, RouteTable, Target};
 
 /// Summary of a view, by which another host sees whether it misses something.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
     /// Version of the configuration; 0 for none.
     pub version: u64,
-    /// Revision of the last change of targets or closings.
+    /// Revision of the last change of targets or orders.
     pub content: u64,
     /// Revision of the store up to which all is known.
     pub synced: u64,
@@ -26,8 +25,7 @@
 pub struct View {
     table: Arc<RouteTable>,
     registry: Registry,
-    closings: Map<Name, (u64, bool)>,
-    closed: u64,
+    orders: Orders,
     synced: u64,
     confirmed: Option<Instant>,
     certain: Option<u64>,
@@ -64,20 +62,31 @@
         &mut self.registry
     }
 
+    /// Operators' orders.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
+    /// Operators' orders, to be changed.
+    pub fn orders_mut(&mut self) -> &mut Orders {
+        &mut self.orders
+    }
+
     /// Targets that may get new requests.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Target>> {
-        let open = |t: &&Arc<Target>| !t.draining && !self.is_closed(&t.data_centre);
-        self.registry.targets().filter(open)
+        self.open().filter(|t| !self.is_held(t))
     }
 
-    /// Whether the targets of a data centre get no new requests.
-    pub fn is_closed(&self, data_centre: &str) -> bool {
-        self.closings.get(data_centre).is_some_and(|(_, closed)| *closed)
+    fn open(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let open = |t: &&Arc<Target>| !t.draining && !self.orders.is_closed(&t.data_centre);
+        self.registry.targets().filter(open)
     }
 
-    /// Data centres that are closed.
-    pub fn closed(&self) -> impl Iterator<Item = &Name> {
-        self.closings.iter().filter(|(_, (_, closed))| *closed).map(|(name, _)| name)
+    /// Whether a target is of a new version that other targets can spare.
+    fn is_held(&self, target: &Target) -> bool {
+        let Some(version) = self.orders.new_version(&target.service) else { return false };
+        let older = |t: &Arc<Target>| t.service == target.service && t.version != *version;
+        target.version == *version && self.open().any(older)
     }
 
     /// Puts a configuration in force if its version is higher.
@@ -89,18 +98,6 @@
         true
     }
 
-    /// Closes or opens a data centre; true if that changes anything.
-    pub fn close(&mut self, closing: Closing) -> bool {
-        let Closing { data_centre, revision, closed } = closing;
-        let known = self.closings.entry(data_centre).or_insert((0, false));
-        if revision <= known.0 || known.1 == closed {
-            return false;
-        }
-        *known = (revision, closed);
-        self.closed = self.closed.max(revision);
-        true
-    }
-
     /// Takes note that the store confirmed the view up to a revision at that time.
     pub fn confirm(&mut self, synced: u64, at: Instant) {
         self.synced = self.synced.max(synced);
@@ -118,9 +115,9 @@
         self.certain = None;
     }
 
-    /// Revision of the last change of targets or closings that is certain.
+    /// Revision of the last change of targets or orders that is certain.
     pub fn content(&self) -> u64 {
-        let content = self.registry.revision().max(self.closed);
+        let content = self.registry.revision().max(self.orders.revision());
         content.min(self.certain.unwrap_or(u64::MAX))
     }
 
@@ -156,17 +153,10 @@
     pub fn delta(&self, other: &Published, now: Instant) -> Delta {
         let own = self.published(now);
         let newer = own.version > other.version;
-        let told = |revision: u64| revision > other.content && revision <= own.content;
-        let closings = self.closings.iter().filter(|(_, (revision, _))| told(*revision));
-        let closing = |(name, (revision, closed)): (&Name, &(u64, bool))| Closing {
-            data_centre: name.clone(),
-            revision: *revision,
-            closed: *closed,
-        };
         Delta {
             configuration: newer.then(|| self.table.configuration().clone()),
             targets: self.registry.between(other.content, own.content),
-            closings: closings.map(closing).collect(),
+            orders: self.orders.between(other.content, own.content),
             synced: own.synced,
             age: own.age,
         }
@@ -178,8 +168,8 @@
         for change in delta.targets {
             changed |= self.registry.merge(change);
         }
-        for closing in delta.closings {
-            changed |= self.close(closing);
+        for order in delta.orders {
+            changed |= self.orders.apply(order);
         }
         if delta.age != u64::MAX {
             let at = now.checked_sub(Duration::from_millis(delta.age));
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use sapphirerack_routes::{Configuration, Published, Registry, Target, View};
+use sapphirerack_routes::{Configuration, Order, OrderChange, Published, Registry, Target, View};
 
 fn target(id: &str, born: u64, sequence: u64) -> Target {
     Target {
@@ -165,6 +165,43 @@
     }
 }
 
+fn order(revision: u64, order: Option<Order>) -> OrderChange {
+    OrderChange { key: "order".into(), revision, order }
+}
+
+#[test]
+fn closed_data_centre_has_no_usable_targets_and_all_hosts_learn_of_it() {
+    let now = Instant::now();
+    let (mut reader, mut other) = (View::default(), View::default());
+    reader.registry_mut().announce(target("a", 1, 1), 1);
+    exchange(&reader, &mut other, now);
+    let close = Order::Close { data_centre: "munich".into() };
+    reader.orders_mut().apply(order(2, Some(close.clone())));
+    exchange(&reader, &mut other, now);
+    assert!(usable(&other).is_empty());
+
+    reader.orders_mut().apply(order(4, None));
+    exchange(&reader, &mut other, now);
+    other.orders_mut().apply(order(3, Some(close)));
+
+    assert_eq!(usable(&other), ["a"]);
+}
+
+#[test]
+fn new_version_gets_no_requests_while_older_targets_are_there() {
+    let mut view = View::default();
+    view.registry_mut().announce(target("old", 1, 1), 1);
+    view.registry_mut().announce(Target { version: "v2".into(), ..target("new", 1, 1) }, 2);
+    assert_eq!(usable(&view), ["new", "old"]);
+
+    let shift = Order::Shift { service: "search".into(), version: "v2".into() };
+    view.orders_mut().apply(order(3, Some(shift)));
+    assert_eq!(usable(&view), ["old"]);
+
+    view.registry_mut().remove(&"old".into(), 4);
+    assert_eq!(usable(&view), ["new"], "they are all there is");
+}
+
 #[test]
 fn older_configuration_is_never_adopted() {
     let mut view = View::default();
