A host that holds a removal back is not taken for up to date

It told its changes only up to that removal, as it should, but named the later revision as known; another host took that over, read the store only after it, and passed on a view without the change. Ruled out: a late reading (0.3 s), a delayed announcement. Change: in doubt a host publishes the certain revision and no age, so that the others read the store themselves.

--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -123,9 +123,15 @@
 
     /// Summary for other hosts.
     pub fn published(&self, now: Instant) -> Published {
+        let version = self.version();
         let content = self.content();
+        if let Some(certain) = self.certain {
+            // Others read the store themselves rather than take this view for all there is.
+            let synced = self.synced.min(certain);
+            return Published { version, content, synced, age: u64::MAX };
+        }
         let age = self.age(now).map_or(u64::MAX, |a| a.as_millis() as u64);
-        Published { version: self.version(), content, synced: self.synced, age }
+        Published { version, content, synced: self.synced, age }
     }
 
     /// Time since the store last confirmed the view; `None` if it never did.
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -110,6 +110,26 @@
     assert!(doubtful.is_behind(&sure.published(now), now), "it asks those who know");
 }
 
+#[test]
+fn host_that_holds_a_removal_back_is_not_taken_for_up_to_date() {
+    let now = Instant::now();
+    let (mut doubtful, mut other) = (View::default(), View::default());
+    for view in [&mut doubtful, &mut other] {
+        view.registry_mut().announce(target("a", 1, 5), 10);
+        view.confirm(12, now);
+    }
+    let later = now + Duration::from_secs(2);
+    doubtful.doubt(15);
+    doubtful.registry_mut().announce(draining("a", 1, 6), 20);
+    doubtful.confirm(30, later);
+
+    other.refresh(&doubtful.published(later), later);
+    exchange(&doubtful, &mut other, later);
+
+    assert_eq!(other.synced(), 12, "it would read the store only after this");
+    assert_eq!(other.age(later), Some(Duration::from_secs(2)));
+}
+
 #[test]
 fn sequence_of_a_removed_target_is_told_with_its_removal() {
     let now = Instant::now();
