Keep spent extra requests spent, and let a reload take effect

Cause, found by reading the change again: a balance got a full budget each time its host met another one, so that after a start the hosts together could send far more than the slack; a changed file of settings reached neither the budgets nor the stop, though the example says so. Change: Budget::resize keeps what was spent; Host::update derives everything from view, settings and number of hosts in one place; the stop reads its times when it is told. Besides: the time at which a query answers is worked out in one place, 'away' is derived from the failures, unused accessors and a second status are gone, fields of the adapter have two words.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A request at one target.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 
 /// What every target of a request is sent.
 pub(crate) struct Call {
-    pub route: std::sync::Arc<Route>,
+    pub route: Arc<Route>,
     pub method: Method,
     pub uri: Uri,
     /// Headers of the caller that are passed on.
@@ -24,6 +25,8 @@
     pub body: Bytes,
     /// Id of the caller's attempt.
     pub id: HeaderValue,
+    /// When the host had read its head.
+    pub start: Instant,
     /// Time after which the caller waits no more.
     pub deadline: Instant,
 }
--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -28,11 +28,10 @@
 /// Accepts connections until the host was told to stop, and ends them in time.
 pub(crate) async fn accept(host: Rc<Host>, listener: TcpListener) {
     let graceful = GracefulShutdown::new();
-    let stop = host.settings.borrow().stop.clone();
-    let grace = Duration::from_secs(stop.grace).saturating_sub(LAST_ANSWERS);
     let told = async {
         host.stopping.notified().await;
-        tokio::time::sleep(stop.linger).await;
+        let linger = host.settings.borrow().stop.linger;
+        tokio::time::sleep(linger).await;
     };
     tokio::pin!(told);
     loop {
@@ -53,7 +52,8 @@
         serve(&host, stream, &graceful);
     }
     drop(listener);
-    let left = grace.saturating_sub(stop.linger);
+    let stop = host.settings.borrow().stop.clone();
+    let left = Duration::from_secs(stop.grace).saturating_sub(LAST_ANSWERS + stop.linger);
     let closed = graceful.shutdown();
     tokio::pin!(closed);
     if tokio::time::timeout(left, &mut closed).await.is_err() {
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -110,8 +110,8 @@
         self.stopping.notify_waiters();
     }
 
-    /// Brings everything that depends on the view up to date.
-    pub(crate) fn view_changed(&self) {
+    /// Brings everything up to date that depends on the view, the settings or the number of hosts.
+    pub(crate) fn update(&self) {
         let now = self.now();
         let view = self.view.borrow();
         let configuration = view.table().configuration();
@@ -127,6 +127,7 @@
             let balance = services
                 .entry(name.clone())
                 .or_insert_with(|| Balance::new(shares, fastrand::Rng::new(), now));
+            balance.set_shares(shares);
             balance.set_limit(self.connections(service));
             let targets = by_service.remove(name).unwrap_or_default();
             balance.update(&targets, &home, service.cold_rate, now);
@@ -143,11 +144,7 @@
     pub(crate) fn hosts_changed(&self, live: usize) {
         if live > self.most.get() {
             self.most.set(live);
-            let shares = self.shares();
-            for balance in self.services.borrow_mut().values_mut() {
-                balance.set_shares(shares);
-            }
-            self.view_changed();
+            self.update();
         }
     }
 
@@ -157,7 +154,7 @@
     }
 
     /// Connections to each target of a service that are this host's share.
-    pub(crate) fn connections(&self, service: &Service) -> usize {
+    fn connections(&self, service: &Service) -> usize {
         let share = f64::from(service.connections) * CONNECTIONS_USED / self.most.get() as f64;
         (share as usize).max(1)
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`Dialect`].
 //!
 //! ```text
-//! caller -> caller -> request -> query (one ask a shard) -> ask -> attempt -> target
+//! callers -> caller -> request -> query (one ask a shard) -> ask -> attempt -> target
 //!                             -> ask (one service)
 //! store  -> reader -> view <~> peers <~> other hosts
 //! ```
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -190,7 +190,7 @@
     let changed = host.view.borrow_mut().merge(delta, host.now());
     if changed {
         log::info!("event=view_learnt peer={peer} version={version} targets={targets}");
-        host.view_changed();
+        host.update();
     }
 }
 
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -19,8 +19,8 @@
 /// Size of a record, in bytes.
 const RECORD: usize = 16;
 
-/// Time that this host needs from the decision to answer until the answer has left.
-const ANSWER_TIME: Duration = Duration::from_millis(12);
+/// Time that a host needs from the decision to answer until the answer has left.
+const AIM_MARGIN: Duration = Duration::from_millis(12);
 
 type Record = [u8; RECORD];
 
@@ -45,7 +45,7 @@
     host: &Rc<Host>,
     call: &Rc<Call>,
     gather: &Gather,
-    aim: Instant,
+    fresh: bool,
     attempts: &Attempts,
 ) -> Gathered {
     let Some(asked) = admitted(host, gather) else { return Gathered::Refused };
@@ -53,8 +53,7 @@
         .iter()
         .map(|shard| async { (*shard, ask(host, call, &gather.shards[*shard], attempts).await) });
     let mut open: FuturesUnordered<_> = shards.collect();
-    let distance = host.settings.borrow().queries.distance;
-    let aim = aim.checked_sub(distance + ANSWER_TIME).unwrap_or(aim);
+    let aim = latest_answer(host, call, fresh);
     let total = gather.shards.len();
     let cutoff = Cutoff { total, least: gather.least(), aim, deadline: call.deadline };
     let mut parts: Vec<Part> = Vec::with_capacity(total);
@@ -95,6 +94,16 @@
     }
 }
 
+/// Latest time for an answer that reaches the caller within its aim.
+///
+/// The caller counts from before it opened its connection, if it did, and until the answer is
+/// there; each of these ways takes the distance.
+fn latest_answer(host: &Host, call: &Call, fresh: bool) -> Instant {
+    let distance = host.settings.borrow().queries.distance;
+    let ways = if fresh { 4 } else { 2 };
+    call.start + call.route.aim.saturating_sub(distance * ways + AIM_MARGIN)
+}
+
 /// Shards that have room for the query; `None` if they are too few.
 fn admitted(host: &Host, gather: &Gather) -> Option<Vec<usize>> {
     let now = host.now();
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -1,6 +1,5 @@
 //! What the store says, and when it is read.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -33,11 +32,10 @@
         lapses: Lapses::default(),
         reading: Reading::default(),
         expired: true,
-        away: false,
     };
     if !host.is_seed() {
         let patience = START_PATIENCE.mul_f64(0.75 + fastrand::f64() / 2.0);
-        let seeds = host.seeds();
+        let seeds = host.settings.borrow().seed_hosts();
         // All hosts may start at once, the seeds a little later than this one.
         tokio::time::sleep(START_SPREAD.mul_f64(fastrand::f64())).await;
         // Whether or not a seed knew something, the store is asked when this is too old.
@@ -65,7 +63,6 @@
     reading: Reading,
     /// Whether changes since the last reading may be unknown.
     expired: bool,
-    away: bool,
 }
 
 impl Reader {
@@ -78,9 +75,8 @@
         } else {
             self.changes(start).await?;
         }
-        self.reading.succeeded();
         self.lapses.store_back(self.host.now());
-        if std::mem::take(&mut self.away) {
+        if self.reading.succeeded() {
             log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
         }
         Ok(())
@@ -95,7 +91,7 @@
             return Duration::ZERO;
         }
         self.lapses.store_away();
-        if !std::mem::replace(&mut self.away, true) {
+        if !self.reading.is_failing() {
             log::warn!("event=store_lost error=\"{error}\"");
         }
         self.reading.failed(patience)
@@ -117,7 +113,7 @@
         }
         self.host.view.borrow_mut().confirm(synced, start);
         if changed {
-            self.host.view_changed();
+            self.host.update();
         }
         Ok(())
     }
@@ -154,7 +150,7 @@
         }
         self.drop_missing(&targets, &keys, content, synced, start);
         self.host.view.borrow_mut().confirm(synced, start);
-        self.host.view_changed();
+        self.host.update();
         log::info!("event=store_listed synced={synced} keys={}", keys.len());
         Ok(())
     }
@@ -269,11 +265,6 @@
         patience(rank, rank_here)
     }
 
-    /// Addresses of the hosts to ask first.
-    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
-        self.settings.borrow().seed_hosts()
-    }
-
     /// Whether the others ask this host first.
     fn is_seed(&self) -> bool {
         let settings = self.settings.borrow();
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response};
 use sapphirerack_routes::{Action, Gather, Route};
 
 use crate::ask::{Attempts, ask};
@@ -30,10 +30,10 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
-/// Time that is left of a deadline when the answer has to leave.
-const ANSWER_TIME: Duration = Duration::from_millis(5);
+/// Time before the caller's deadline at which a request is ended.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
-/// Shortest and longest time after which a caller is asked to come back.
+/// Shortest and longest time after which a caller is asked to come back, in seconds.
 const RETRY_AFTER: (f64, f64) = (0.15, 0.6);
 
 /// Time after which a caller comes back to a host that has no configuration yet, in seconds.
@@ -57,7 +57,7 @@
 ) -> Reply {
     let table = host.view.borrow().table().clone();
     if table.configuration().version == 0 {
-        return refuse(503, START_TIME);
+        return refuse(START_TIME);
     }
     let (head, body) = request.into_parts();
     let name = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
@@ -88,10 +88,11 @@
         headers: passed_on(&head.headers),
         body,
         id,
+        start,
         deadline: start + wait,
         route: route.clone(),
     });
-    let reply = run(host, &call, fresh, start).await;
+    let reply = run(host, &call, fresh).await;
     host.metrics.answered(&route.name, reply.status().as_u16(), host.now() - start);
     reply
 }
@@ -101,7 +102,7 @@
     let stated = headers.get(&host.dialect.headers.budget);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
     let wait = stated.map_or(route.timeout, |ms| route.timeout.min(Duration::from_millis(ms)));
-    wait.saturating_sub(ANSWER_TIME)
+    wait.saturating_sub(DEADLINE_MARGIN)
 }
 
 /// Path and query, without what proxies are sent before them.
@@ -112,6 +113,7 @@
     }
 }
 
+/// Headers without those that concern one connection only.
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
     let listed = headers.get_all(header::CONNECTION);
@@ -125,7 +127,7 @@
     passed
 }
 
-async fn run(host: &Rc<Host>, call: &Rc<Call>, fresh: bool, start: Instant) -> Reply {
+async fn run(host: &Rc<Host>, call: &Rc<Call>, fresh: bool) -> Reply {
     let attempts = Attempts::default();
     let reply = match &call.route.action {
         Action::Forward(services) => {
@@ -141,7 +143,7 @@
                 Err(_) => failure(host, call, 504, "deadline", &attempts),
             }
         }
-        Action::Gather(shards) => gathered(host, call, shards, fresh, start, &attempts).await,
+        Action::Gather(shards) => gathered(host, call, shards, fresh, &attempts).await,
     };
     attempts.answered();
     reply
@@ -152,14 +154,9 @@
     call: &Rc<Call>,
     shards: &Gather,
     fresh: bool,
-    start: Instant,
     attempts: &Attempts,
 ) -> Reply {
-    let distance = host.settings.borrow().queries.distance;
-    // The way here, and before that the opening of the connection.
-    let spent = if fresh { distance * 3 } else { distance };
-    let aim = start + call.route.aim.saturating_sub(spent);
-    match gather(host, call, shards, aim, attempts).await {
+    match gather(host, call, shards, fresh, attempts).await {
         Gathered::Answer { seals, parts, body } => {
             let names = &host.dialect.headers;
             let mut reply = Response::new(Full::new(body));
@@ -203,7 +200,7 @@
     let (least, most) = RETRY_AFTER;
     let after = least + fastrand::f64() * (most - least);
     log_failure(host, call, 503, "not run", attempts);
-    refuse(503, after)
+    refuse(after)
 }
 
 fn failure(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) -> Reply {
@@ -223,9 +220,9 @@
     );
 }
 
-fn refuse(status: u16, after: f64) -> Reply {
-    let mut reply = empty(status);
-    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+/// Says that a request has not run and when to come back, in seconds.
+fn refuse(after: f64) -> Reply {
+    let mut reply = empty(503);
     if let Ok(after) = HeaderValue::from_str(&format!("{after:.3}")) {
         reply.headers_mut().insert(header::RETRY_AFTER, after);
     }
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -98,25 +98,30 @@
             continue;
         }
         last = now;
-        match fs::read_to_string(&path)
-            .map_err(|e| e.to_string())
-            .and_then(|text| from_text(&text).map_err(|e| e.to_string()))
-        {
-            Ok(settings) => {
-                host.members.borrow_mut().set_seeds(settings.seed_hosts());
-                let changed = *host.settings.borrow() != settings;
-                log::info!("event=reload changed={changed}");
-                let mut own = host.settings.borrow_mut();
-                own.seeds = settings.seeds;
-                own.bounds = settings.bounds;
-                own.stop = settings.stop;
-                own.queries = settings.queries;
-            }
+        match read_settings(&path) {
+            Ok(settings) => reload_settings(&host, settings),
             Err(e) => log::warn!("event=reload_failed error=\"{e}\""),
         }
     }
 }
 
+fn read_settings(path: &Path) -> Result<Settings> {
+    let text = fs::read_to_string(path);
+    from_text(&text.map_err(|e| Error::io("read settings", path.display(), e))?)
+}
+
+/// Takes over what may change while the host runs.
+fn reload_settings(host: &Host, settings: Settings) {
+    let changed = *host.settings.borrow() != settings;
+    log::info!("event=reload changed={changed}");
+    host.members.borrow_mut().set_seeds(settings.seed_hosts());
+    let Settings { seeds, bounds, stop, queries, .. } = settings;
+    let mut own = host.settings.borrow_mut();
+    *own = Settings { seeds, bounds, stop, queries, ..own.clone() };
+    drop(own);
+    host.update();
+}
+
 fn modified(path: &Path) -> Option<SystemTime> {
     fs::metadata(path).and_then(|m| m.modified()).ok()
 }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -56,6 +56,13 @@
         self.spend(-self.burst * CREDIT)
     }
 
+    /// Changes the share and the most tokens; tokens that were spent stay spent.
+    pub fn resize(&mut self, share: f64, burst: f64) {
+        self.share = share;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Changes the share.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -32,6 +32,13 @@
     pub slack: f64,
 }
 
+impl Shares {
+    /// Extra requests that one host may send beyond what it has earned.
+    fn burst(&self) -> f64 {
+        (self.slack * EXTRA_USED / self.hosts.max(1) as f64).max(1.0)
+    }
+}
+
 /// A target that was chosen for a request.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -62,7 +69,7 @@
             replicas: Vec::new(),
             cold: Map::default(),
             cold_rate: 0.0,
-            budget: budget(shares),
+            budget: Budget::new(shares.extra * EXTRA_USED, shares.burst()),
             shares,
             tickets: 0,
             limit: LEAST_HELD,
@@ -110,10 +117,8 @@
 
     /// Takes changed shares.
     pub fn set_shares(&mut self, shares: Shares) {
-        if shares != self.shares {
-            self.shares = shares;
-            self.budget = budget(shares);
-        }
+        self.shares = shares;
+        self.budget.resize(shares.extra * EXTRA_USED, shares.burst());
     }
 
     /// The targets.
@@ -189,8 +194,3 @@
         self.budget.retry()
     }
 }
-
-fn budget(shares: Shares) -> Budget {
-    let burst = shares.slack * EXTRA_USED / shares.hosts.max(1) as f64;
-    Budget::new(shares.extra * EXTRA_USED, burst.max(1.0))
-}
--- a/crates/policy/src/direct/readers.rs
+++ b/crates/policy/src/direct/readers.rs
@@ -39,9 +39,14 @@
 }
 
 impl Reading {
-    /// Takes note of an answer.
-    pub fn succeeded(&mut self) {
-        self.failures = 0;
+    /// Takes note of an answer; true if it ends a series of failures.
+    pub fn succeeded(&mut self) -> bool {
+        std::mem::take(&mut self.failures) > 0
+    }
+
+    /// Whether the last try failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
     }
 
     /// Takes note of a failure; tells how long to pause.
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -1,6 +1,5 @@
 //! One target as this host sees it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -129,11 +128,6 @@
         &self.target
     }
 
-    /// Address of the target.
-    pub fn address(&self) -> SocketAddr {
-        self.target.address
-    }
-
     /// Requests of this host that are in hand there.
     pub fn load(&self) -> usize {
         self.held.len()
@@ -264,7 +258,7 @@
         let known = self.is_slow();
         self.strikes = self.strikes.max(report.strikes);
         if apart {
-            self.strikes = self.strikes.max(1 + u32::from(self.strikes < CERTAIN));
+            self.strikes = self.strikes.max(CERTAIN);
         }
         if self.struck.is_none_or(|t| at > t + APART) {
             self.struck = Some(at);
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -187,6 +187,20 @@
     assert!(extra >= 0.1 * requests, "the budget is used");
 }
 
+#[test]
+fn budget_is_not_filled_again_when_a_host_meets_others() {
+    let now = Instant::now();
+    let alone = Shares { hosts: 3, ..SHARES };
+    let mut balance = Balance::new(alone, fastrand::Rng::with_seed(7), now);
+    while balance.may_retry() {}
+
+    for hosts in 4..=75 {
+        balance.set_shares(Shares { hosts, ..SHARES });
+    }
+
+    assert!(!balance.may_retry());
+}
+
 /// One shard of two slots at 1.5 times its capacity: parts are in time only while no more are
 /// admitted than it bears. Tells the share of admitted queries whose part was in time, and the
 /// share that was admitted.
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -27,7 +27,9 @@
     registry: Registry,
     orders: Orders,
     synced: u64,
+    /// When the store last confirmed all of this, through this host or another.
     confirmed: Option<Instant>,
+    /// Revision before the first removal that is held back, if one is.
     certain: Option<u64>,
 }
 
@@ -47,11 +49,6 @@
         self.synced
     }
 
-    /// When the store last confirmed the view, through this host or another.
-    pub fn confirmed(&self) -> Option<Instant> {
-        self.confirmed
-    }
-
     /// Targets.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -8,10 +8,15 @@
 use std::thread;
 use std::time::Duration;
 
+use serde_json::{Value, json};
+
 use platform_support::{Host, Manner, Store, Target, configuration, wait_until};
 
 const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
 
+/// Time after which a changed file of settings must have been read.
+const SETTINGS_TIME: Duration = Duration::from_secs(3);
+
 /// Time after which a target that drains must get no new request.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
@@ -24,10 +29,10 @@
 }
 
 fn setup() -> Setup {
-    setup_with(Stdio::null())
+    setup_with(Stdio::null(), json!({ "grace": 6, "linger": "300ms" }))
 }
 
-fn setup_with(out: Stdio) -> Setup {
+fn setup_with(out: Stdio, stop: Value) -> Setup {
     let store = Store::start();
     store.put("op/config", &configuration(3, &SHARDS, "desk"));
     let pair = |records: &[u8]| [(); 2].map(|()| Target::start(records, Manner::Good));
@@ -37,7 +42,7 @@
         announce(&store, name, targets);
     }
     announce(&store, "desk", &desk);
-    let host = Host::start_with(&store, out);
+    let host = Host::start_with(&store, out, stop);
     host.await_ready();
     Setup { store, shards, desk, host }
 }
@@ -206,7 +211,7 @@
 #[test]
 fn closed_data_centre_gets_no_requests_until_it_is_opened() {
     let setup = setup();
-    setup.store.put("op/evacuate/here", &serde_json::json!({}));
+    setup.store.put("op/evacuate/here", &json!({}));
     wait_until(|| setup.host.get("/read/x").status() == 503);
 
     let before = arrivals(&setup.desk);
@@ -251,6 +256,38 @@
     assert_eq!(setup.host.get("/read/x").status(), 404);
 }
 
+#[test]
+fn request_is_ended_at_its_target_when_the_caller_leaves() {
+    let setup = setup();
+    set(&setup.desk, Manner::Hold);
+    set(&setup.shards[0], Manner::Hold);
+
+    for path in ["/read/x", "/query/x"] {
+        let ended = || setup.desk.iter().chain(&setup.shards[0]).map(Target::ended).sum::<usize>();
+        let before = (arrivals(&setup.desk) + arrivals(&setup.shards[0]), ended());
+        let caller = setup.host.open(path);
+        wait_until(|| arrivals(&setup.desk) + arrivals(&setup.shards[0]) > before.0);
+        drop(caller);
+
+        wait_until(|| ended() > before.1);
+    }
+}
+
+#[test]
+fn changed_settings_are_in_force_without_a_signal() {
+    let short = json!({ "grace": 2, "linger": "1ms" });
+    let setup = setup_with(Stdio::null(), short);
+    set(&setup.desk, Manner::Slow(Duration::from_secs(4)));
+    setup.host.change_settings(|s| s["stop"]["grace"] = 20.into());
+    thread::sleep(SETTINGS_TIME);
+    let caller = setup.host.open("/long/x");
+    wait_until(|| arrivals(&setup.desk) > 0);
+
+    setup.host.terminate();
+
+    assert_eq!(Host::answer(caller).status(), 200, "it went by its former grace");
+}
+
 #[test]
 fn stopping_host_answers_what_it_has_and_ends() {
     let mut setup = setup();
@@ -269,7 +306,7 @@
 
 #[test]
 fn host_serves_while_nobody_reads_its_log() {
-    let mut setup = setup_with(Stdio::piped());
+    let mut setup = setup_with(Stdio::piped(), json!({ "grace": 6 }));
     let _unread = setup.host.output();
     set(&setup.desk, Manner::Refuse);
     // Each of these writes a line; together they exceed what a pipe holds.
--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,6 +16,11 @@
 use serde_json::{Value, json};
 
 const LIMIT: Duration = Duration::from_secs(15);
+
+/// Time that callers wait, in milliseconds: usually, and when the test is about something else.
+const USUAL_MS: u32 = 1_500;
+const LONG_MS: u32 = 30_000;
+
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Head and body of a message.
@@ -212,6 +217,8 @@
     Vague,
     /// With a second answer after the first.
     Twice,
+    /// With nothing, until the connection ends.
+    Hold,
 }
 
 /// A target that counts what it is sent.
@@ -221,6 +228,7 @@
     pub address: SocketAddr,
     manner: Arc<Mutex<Manner>>,
     requests: Arc<Mutex<Vec<Message>>>,
+    ended: Arc<AtomicUsize>,
 }
 
 static TARGETS: AtomicU32 = AtomicU32::new(1);
@@ -233,19 +241,27 @@
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
         let body: Vec<u8> = records.iter().flat_map(|r| [*r; 16]).collect();
         let (shared, seen, own) = (manner.clone(), requests.clone(), id.clone());
+        let ended: Arc<AtomicUsize> = Arc::default();
+        let count = ended.clone();
         let address = listen(move |stream| {
             let mut out = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
             while let Some(request) = read_message(&mut reader) {
                 seen.lock().unwrap().push(request.clone());
                 let manner = *shared.lock().unwrap();
+                if manner == Manner::Hold {
+                    // The host sends nothing more; this ends with the connection.
+                    let _ = reader.read(&mut [0]);
+                    count.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
                 let Some(reply) = reply_as(manner, &own, &request, &body) else { return };
                 if out.write_all(&reply).is_err() || manner == Manner::Cut {
                     return;
                 }
             }
         });
-        Self { id, address, manner, requests }
+        Self { id, address, manner, requests, ended }
     }
 
     pub fn set(&self, manner: Manner) {
@@ -256,6 +272,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Requests that ended with their connection while they were held.
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// What the target announces.
     pub fn announcement(&self, service: &str) -> Value {
         json!({
@@ -288,7 +309,7 @@
             let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt)];
             Some(answer("503 Service Unavailable", &headers, b""))
         }
-        Manner::Lose => None,
+        Manner::Lose | Manner::Hold => None,
         Manner::Foreign => {
             let headers = [("Attempt-Id", "another"), ("Server-Seal", seal.as_str())];
             Some(answer("200 OK", &headers, body))
@@ -323,6 +344,7 @@
             route("query", "safe", json!({ "Gather": shards, "TopK": 4, "MinCoverage": 0.5 })),
             route("read", "safe", json!({ "Upstream": desk })),
             route("book", "unsafe", json!({ "Upstream": desk })),
+            route("long", "unsafe", json!({ "Upstream": desk, "TimeoutMs": 30_000 })),
         ],
         "Upstreams": services,
         "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
@@ -341,17 +363,17 @@
 impl Host {
     /// Starts a host that uses the store.
     pub fn start(store: &Store) -> Self {
-        Self::start_with(store, Stdio::null())
+        Self::start_with(store, Stdio::null(), json!({ "grace": 6, "linger": "300ms" }))
     }
 
-    /// Starts a host whose standard output goes to `out`.
-    pub fn start_with(store: &Store, out: Stdio) -> Self {
+    /// Starts a host whose standard output goes to `out` and that stops as `stop` says.
+    pub fn start_with(store: &Store, out: Stdio, stop: Value) -> Self {
         let [callers, ready, hosts] = [free(), free(), free()];
         let settings = json!({
             "name": "host-1", "data_centre": "here",
             "listen": { "callers": callers, "ready": ready, "hosts": hosts },
             "store": store.address, "seeds": [hosts],
-            "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
+            "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": stop,
         });
         let name = format!("forward-{}-{}.json", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(name);
@@ -379,14 +401,30 @@
         probe().is_some_and(|m| m.status() == 200)
     }
 
+    /// Reads the answer to a request that was sent with [`Host::open`].
+    pub fn answer(caller: TcpStream) -> Message {
+        read_message(&mut BufReader::new(caller)).unwrap()
+    }
+
+    /// Sends a request without waiting for its answer.
+    pub fn open(&self, path: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers).unwrap();
+        stream.write_all(request("GET", path, "attempt-1", LONG_MS, "").as_bytes()).unwrap();
+        stream
+    }
+
+    /// Changes the file of settings.
+    pub fn change_settings(&self, change: impl Fn(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let mut settings = serde_json::from_str(&text).unwrap();
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+    }
+
     /// Sends a request on a connection of its own; `None` if there is no whole answer.
     pub fn send(&self, method: &str, path: &str, attempt: &str, body: &str) -> Option<Message> {
         let mut stream = TcpStream::connect(self.callers).ok()?;
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: find.example\r\nAttempt-Id: {attempt}\r\n\
-             Time-Budget: 1500\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let request = request(method, path, attempt, USUAL_MS, body);
         stream.write_all(request.as_bytes()).ok()?;
         read_message(&mut BufReader::new(stream))
     }
@@ -421,6 +459,14 @@
     }
 }
 
+fn request(method: &str, path: &str, attempt: &str, budget: u32, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: find.example\r\nAttempt-Id: {attempt}\r\n\
+         Time-Budget: {budget}\r\ncontent-length: {len}\r\n\r\n{body}"
+    )
+}
+
 fn free() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
