--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -2,11 +2,8 @@
 
 use std::time::Duration;
 
-use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use sapphirerack_catalogue::Name;
+use sapphirerack_meters::{Counter, Histogram, KeyValue, Meters};
 
 use crate::{Error, Result};
 
@@ -19,8 +16,7 @@
 
 /// Instruments of one host.
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    meters: Meters,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
     extra: Counter<u64>,
@@ -33,26 +29,16 @@
 impl Metrics {
     /// Instruments with a registry of their own.
     pub(crate) fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::metrics(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sapphirerack");
-        let histogram = |name: &'static str, bounds: &[f64]| {
-            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
-        };
+        let meters = Meters::new().map_err(|e| Error::metrics(e.to_string()))?;
         Ok(Self {
-            latency: histogram("request_latency_seconds", &LATENCY_BOUNDS),
-            coverage: histogram("request_coverage", &COVERAGE_BOUNDS),
-            extra: meter.u64_counter("extra_requests").build(),
-            connections: meter.u64_counter("target_connections").build(),
-            target_failures: meter.u64_counter("target_failures").build(),
-            store_calls: meter.u64_counter("store_calls").build(),
-            store_failures: meter.u64_counter("store_failures").build(),
-            registry,
-            _provider: provider,
+            latency: meters.histogram("request_latency_seconds", &LATENCY_BOUNDS),
+            coverage: meters.histogram("request_coverage", &COVERAGE_BOUNDS),
+            extra: meters.counter("extra_requests"),
+            connections: meters.counter("target_connections"),
+            target_failures: meters.counter("target_failures"),
+            store_calls: meters.counter("store_calls"),
+            store_failures: meters.counter("store_failures"),
+            meters,
         })
     }
 
@@ -93,12 +79,8 @@
     }
 
     /// All figures as text.
-    pub(crate) fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("event=metrics_failed error=\"{e}\"");
-        }
-        text
+    pub(crate) fn text(&self) -> String {
+        self.meters.text()
     }
 }
 
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,9 +1,6 @@
 //! Counters and histograms, by member and class, in the Prometheus text format.
 
-use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use sapphirerack_meters::{Counter, Histogram, KeyValue, Meters};
 
 use crate::{Error, Result};
 
@@ -16,8 +13,7 @@
 
 /// Instruments of one host.
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    meters: Meters,
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
     refusals: Counter<u64>,
@@ -40,25 +36,15 @@
 impl Metrics {
     /// Instruments with a registry of their own.
     pub(crate) fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::metrics(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sapphirerack");
-        let histogram = |name: &'static str, bounds: &[f64]| {
-            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
-        };
+        let meters = Meters::new().map_err(|e| Error::metrics(e.to_string()))?;
         Ok(Self {
-            latency: histogram("query_latency_seconds", &LATENCY_BOUNDS),
-            coverage: histogram("query_coverage", &COVERAGE_BOUNDS),
-            refusals: meter.u64_counter("refusals").build(),
-            sub_queries: meter.u64_counter("sub_queries").build(),
-            extra: meter.u64_counter("extra_sub_queries").build(),
-            target_failures: meter.u64_counter("target_failures").build(),
-            registry,
-            _provider: provider,
+            latency: meters.histogram("query_latency_seconds", &LATENCY_BOUNDS),
+            coverage: meters.histogram("query_coverage", &COVERAGE_BOUNDS),
+            refusals: meters.counter("refusals"),
+            sub_queries: meters.counter("sub_queries"),
+            extra: meters.counter("extra_sub_queries"),
+            target_failures: meters.counter("target_failures"),
+            meters,
         })
     }
 
@@ -86,10 +72,6 @@
 
     /// All metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!("step=metrics error={e}");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+        self.meters.text()
     }
 }
