Shed whole queries by one draw, and spend extra requests where they help

Misses that came from lost answers counted as overload. Hedges needed a full budget (2 tokens a host at 73 hosts) and were spent on shards with a single replica. What had reached no target (a reset connection) spent budget as well. Change: policy::direct::select draws once a query, keeps shards in reserve that turn it away, and sheds less urgent routes first; admission hears of load only; hedges leave a fifth of the slack for retries and need another target; unsent requests are tried again after a pause and cost no budget; a failed one may go once more to a target that has had it; connections to targets of other data centres are kept for 1.5 s only; overdue from 2.5 deviations; 0.9 of the permitted extra requests are used.

--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::{Balance, Choice};
+use sapphirerack_policy::direct::{Balance, Choice, pause};
 use tokio::task::{AbortHandle, JoinHandle, spawn_local};
 
 use crate::attempt::{Call, Outcome, attempt};
@@ -21,9 +21,12 @@
 /// connections are kept and their targets' recovery is seen.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// Most targets that a request is offered to while they refuse it.
+/// Most times that a request is sent while targets refuse it.
 const MOST_OFFERS: usize = 4;
 
+/// Most times that a connection for a request is sought.
+const MOST_TRIES: usize = 8;
+
 /// Requests at targets on behalf of one request of a caller.
 ///
 /// If this is dropped before the answer, since the caller has gone, all of them are ended at once.
@@ -88,39 +91,42 @@
         service,
         attempts,
         tried: Vec::new(),
-        running: Vec::new(),
-        runs: 0,
+        open: Vec::new(),
+        ran: Vec::new(),
+        unsent: 0,
         hedge: None,
+        again: None,
     };
     host.balance(service, |b| b.earn());
     let mut running = FuturesUnordered::new();
     running.push(asking.start()?);
     let mut last = None;
     loop {
-        let hedge = asking.hedge;
+        let (hedge, again) = (asking.hedge, asking.again);
         let outcome = tokio::select! {
-            outcome = running.next() => outcome,
-            () = sleep_until(hedge) => {
+            outcome = running.next(), if !running.is_empty() => outcome,
+            () = sleep_until(again), if again.is_some() => {
+                asking.again = None;
+                running.extend(asking.start());
+                continue;
+            }
+            () = sleep_until(hedge), if !running.is_empty() => {
                 asking.hedge = None;
-                if let Some(second) = asking.hedge() {
-                    running.push(second);
-                }
+                running.extend(asking.hedge());
                 continue;
             }
+            else => None,
         };
         let Some((target, outcome)) = outcome else { return last };
         if outcome.is_success() {
             return Some(outcome);
         }
         asking.failed(&target, &outcome);
-        let again = asking.retry(&outcome);
+        running.extend(asking.retry(&outcome));
         // A later refusal must not hide that an earlier target may have run the request.
-        if last.is_none() || !matches!(outcome, Outcome::NotRun(_)) {
+        if last.is_none() || !outcome.has_not_run() {
             last = Some(outcome);
         }
-        if let Some(second) = again {
-            running.push(second);
-        }
     }
 }
 
@@ -139,12 +145,16 @@
     attempts: &'a Attempts,
     /// Targets that were asked.
     tried: Vec<Name>,
-    /// Targets that may answer yet, or may have run the request.
-    running: Vec<Name>,
+    /// Targets that may answer yet.
+    open: Vec<Name>,
     /// Targets that may have run the request.
-    runs: u32,
+    ran: Vec<Name>,
+    /// Times that nothing reached a target.
+    unsent: usize,
     /// When a second target is asked.
     hedge: Option<Instant>,
+    /// When a target is asked again that could not take the request.
+    again: Option<Instant>,
 }
 
 type Running = std::pin::Pin<Box<dyn Future<Output = (Name, Outcome)>>>;
@@ -153,20 +163,36 @@
     fn start(&mut self) -> Option<Running> {
         let now = self.host.now();
         let (usual, overdue) = self.host.typical(&self.call.route, |t| (t.mean(), t.overdue()));
-        let tried = &self.tried;
+        let may_spread = self.may_spread();
         let choose = |b: &mut Balance| {
-            let fresh = b.choose(tried, usual, overdue, now);
-            // One that refused may have room now.
-            fresh.or_else(|| b.choose(&self.running, usual, overdue, now))
+            let fresh = if may_spread { b.choose(&self.tried, usual, overdue, now) } else { None };
+            // One that failed or refused may do now.
+            fresh.or_else(|| b.choose(&self.closed(b, may_spread), usual, overdue, now))
         };
         let choice = self.host.balance(self.service, choose).flatten()?;
-        self.running.push(choice.target.id.clone());
-        self.tried.push(choice.target.id.clone());
-        self.runs += 1;
+        let id = &choice.target.id;
+        self.open.push(id.clone());
+        self.tried.push(id.clone());
+        if !self.ran.contains(id) {
+            self.ran.push(id.clone());
+        }
         self.hedge = self.call.route.idempotent.then(|| now + overdue);
         Some(self.spawn(choice))
     }
 
+    /// Whether a further target may be sent the request.
+    fn may_spread(&self) -> bool {
+        self.ran.len() < self.call.route.attempts as usize
+    }
+
+    /// Targets that may not be sent the request again now.
+    fn closed(&self, balance: &Balance, may_spread: bool) -> Vec<Name> {
+        let ids = balance.replicas().iter().map(|r| &r.target().id);
+        let is_closed =
+            |id: &&Name| self.open.contains(id) || !(may_spread || self.ran.contains(id));
+        ids.filter(is_closed).cloned().collect()
+    }
+
     fn spawn(&self, choice: Choice) -> Running {
         let id = choice.target.id.clone();
         let run = attempt(self.host.clone(), self.call.clone(), self.service.clone(), choice);
@@ -179,10 +205,10 @@
     }
 
     fn hedge(&mut self) -> Option<Running> {
-        if self.runs >= self.call.route.attempts {
+        if !self.may_spread() {
             return None;
         }
-        self.host.balance(self.service, |b| b.may_hedge()).filter(|may| *may)?;
+        self.host.balance(self.service, |b| b.may_hedge(&self.open)).filter(|may| *may)?;
         self.host.metrics.extra(&self.call.route.name, "hedge");
         self.start()
     }
@@ -191,28 +217,39 @@
         let what = match outcome {
             Outcome::Answered(answer) => answer.head.status.as_u16().to_string(),
             Outcome::NotRun(reason) => format!("not_run({reason})"),
+            Outcome::Unsent(reason) => format!("unsent({reason})"),
             Outcome::Unknown(reason) => format!("unknown({reason})"),
         };
         self.attempts.note(target, &what);
         self.host.metrics.target_failed(self.service);
-        if matches!(outcome, Outcome::NotRun(_)) {
-            self.runs -= 1;
-            self.running.retain(|id| **id != *target);
+        self.open.retain(|id| **id != *target);
+        if outcome.has_not_run() {
+            self.ran.retain(|id| **id != *target);
         }
+        self.unsent += usize::from(matches!(outcome, Outcome::Unsent(_)));
     }
 
     fn retry(&mut self, outcome: &Outcome) -> Option<Running> {
-        let not_run = matches!(outcome, Outcome::NotRun(_));
-        let allowed = not_run || self.call.route.idempotent;
-        let answered = matches!(outcome, Outcome::Answered(a) if !a.head.status.is_server_error());
-        if !allowed || answered || self.runs >= self.call.route.attempts {
+        if !self.may_retry(outcome) || self.host.now() >= self.call.deadline {
             return None;
         }
-        if self.tried.len() >= MOST_OFFERS || self.host.now() >= self.call.deadline {
-            return None;
+        // What never reached a target is no extra request.
+        if !matches!(outcome, Outcome::Unsent(_)) {
+            self.host.balance(self.service, |b| b.may_retry(&self.open)).filter(|may| *may)?;
+            self.host.metrics.extra(&self.call.route.name, "retry");
         }
-        self.host.balance(self.service, |b| b.may_retry()).filter(|may| *may)?;
-        self.host.metrics.extra(&self.call.route.name, "retry");
-        self.start()
+        let untried = self.host.balance(self.service, |b| b.has_untried(&self.tried));
+        if self.may_spread() && untried.unwrap_or_default() {
+            return self.start();
+        }
+        self.again = Some(self.host.now() + pause(self.tried.len(), fastrand::f64()));
+        None
+    }
+
+    fn may_retry(&self, outcome: &Outcome) -> bool {
+        let allowed = outcome.has_not_run() || self.call.route.idempotent;
+        let answered = matches!(outcome, Outcome::Answered(a) if !a.head.status.is_server_error());
+        let sent = self.tried.len() - self.unsent;
+        allowed && !answered && sent < MOST_OFFERS && self.tried.len() < MOST_TRIES
     }
 }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -15,6 +15,10 @@
 use crate::client::{Answer, Connection, Failed};
 use crate::host::Host;
 
+/// Longest time for which a connection to a substitute is kept idle. There are more hosts than
+/// connections that a target takes; those in its own data centre need them.
+const SUBSTITUTE_IDLE: Duration = Duration::from_millis(1_500);
+
 /// What every target of a request is sent.
 pub(crate) struct Call {
     pub route: Arc<Route>,
@@ -36,13 +40,20 @@
 pub(crate) enum Outcome {
     /// A whole answer to this request, good or bad, with the target's signature.
     Answered(Answer),
-    /// The target has not run it and never will.
+    /// The target refused it: it has not run it and never will.
     NotRun(String),
+    /// Nothing of it has reached the target.
+    Unsent(String),
     /// It may have run; there is no answer.
     Unknown(String),
 }
 
 impl Outcome {
+    /// Whether the request has certainly not run.
+    pub(crate) fn has_not_run(&self) -> bool {
+        matches!(self, Self::NotRun(_) | Self::Unsent(_))
+    }
+
     /// Whether the answer says that the request succeeded.
     pub(crate) fn is_success(&self) -> bool {
         matches!(self, Self::Answered(answer) if answer.head.status.is_success())
@@ -101,14 +112,14 @@
             }
             Err(e) => {
                 hand.ending = Ending::Failed;
-                return Outcome::NotRun(e.to_string());
+                return Outcome::Unsent(e.to_string());
             }
         },
     };
     let left = call.deadline.saturating_duration_since(host.now());
     if left < Duration::from_millis(1) {
         hand.ending = Ending::Unsent;
-        return Outcome::NotRun("no time left".into());
+        return Outcome::Unsent("no time left".into());
     }
     let request = request(&host, &call, &target.id, left);
     let kept = connection.kept;
@@ -118,13 +129,16 @@
             hand.ending = match &outcome {
                 Outcome::Answered(a) if a.head.status.is_server_error() => Ending::Failed,
                 Outcome::Answered(_) => Ending::Answered,
-                Outcome::NotRun(_) => Ending::Refused,
+                Outcome::NotRun(_) | Outcome::Unsent(_) => Ending::Refused,
                 Outcome::Unknown(_) => Ending::Failed,
             };
             if let Outcome::Answered(a) = &outcome {
                 // The rest of a body that the target did not wait for would follow.
                 if call.body.is_empty() {
                     let limit = host.kept(&hand.service);
+                    if hand.choice.substitute {
+                        connection.shorten(SUBSTITUTE_IDLE);
+                    }
                     host.pool.put(connection, &a.head, limit, host.now());
                 }
             }
@@ -133,7 +147,7 @@
         Err(Failed { unsent, reason }) => {
             host.pool.drop_peer(peer);
             hand.ending = if kept { Ending::Unsent } else { Ending::Failed };
-            if unsent { Outcome::NotRun(reason) } else { Outcome::Unknown(reason) }
+            if unsent { Outcome::Unsent(reason) } else { Outcome::Unknown(reason) }
         }
     }
 }
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -100,6 +100,11 @@
         Ok(Answer { head, body: body.to_bytes() })
     }
 
+    /// Keeps the connection idle for `most` at most.
+    pub(crate) fn shorten(&mut self, most: Duration) {
+        self.idle = self.idle.min(most);
+    }
+
     /// Whether the peer has not closed it.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::{Balance, Cutoff, Decision, select};
+use sapphirerack_policy::direct::{Cutoff, Decision, Selection, draw, select};
 use sapphirerack_routes::Gather;
 
 use crate::ask::{Attempts, ask};
@@ -48,41 +48,43 @@
     fresh: bool,
     attempts: &Attempts,
 ) -> Gathered {
-    let Some(asked) = admitted(host, gather) else { return Gathered::Refused };
-    let shards = asked
-        .iter()
-        .map(|shard| async { (*shard, ask(host, call, &gather.shards[*shard], attempts).await) });
-    let mut open: FuturesUnordered<_> = shards.collect();
+    let Some(selection) = selection(host, call, gather) else { return Gathered::Refused };
+    let Selection { asked, mut spare } = selection;
     let aim = latest_answer(host, call, fresh);
     let total = gather.shards.len();
     let cutoff = Cutoff { total, least: gather.least(), aim, deadline: call.deadline };
+    let ask = |shard: usize| async move {
+        (shard, ask(host, call, &gather.shards[shard], attempts).await)
+    };
+    let mut open: FuturesUnordered<_> = asked.iter().map(|shard| ask(*shard)).collect();
+    let mut waiting = asked;
     let mut parts: Vec<Part> = Vec::with_capacity(total);
     let mut missing: Vec<usize> = (0..total).collect();
-    let mut settled: Vec<usize> = Vec::with_capacity(total);
     loop {
+        let reachable = parts.len() + open.len();
+        if reachable < cutoff.least
+            && let Some(shard) = spare.pop()
+        {
+            open.push(ask(shard));
+            waiting.push(shard);
+            continue;
+        }
         match cutoff.decide(parts.len(), open.len(), host.now()) {
             Decision::Wait(until) => {
                 let next = tokio::time::timeout_at(until.into(), open.next()).await;
-                let now = host.now();
-                if let Ok(Some((shard, outcome))) = &next
-                    && now < aim
-                {
-                    let in_time = outcome.as_ref().is_some_and(Outcome::is_success);
-                    record(host, &gather.shards[*shard], in_time, now);
-                    settled.push(*shard);
-                }
-                if let Ok(Some((shard, Some(outcome)))) = next
-                    && let Some(part) = part(host, outcome)
-                {
+                let Ok(Some((shard, outcome))) = next else { continue };
+                waiting.retain(|w| *w != shard);
+                record(host, &gather.shards[shard], outcome.as_ref(), aim);
+                if let Some(part) = outcome.and_then(|o| part(host, o)) {
                     parts.push(part);
                     missing.retain(|m| *m != shard);
                 }
             }
             decision => {
-                let late = asked.iter().filter(|shard| !settled.contains(shard));
                 let now = host.now();
                 if now >= aim {
-                    late.for_each(|shard| record(host, &gather.shards[*shard], false, now));
+                    let late = waiting.iter().map(|shard| &gather.shards[*shard]);
+                    late.for_each(|service| admission(host, service, false, now));
                 }
                 log_missing(host, call, gather, &missing, attempts);
                 return match decision {
@@ -104,22 +106,29 @@
     call.start + call.route.aim.saturating_sub(distance * ways + AIM_MARGIN)
 }
 
-/// Shards that have room for the query; `None` if they are too few.
-fn admitted(host: &Host, gather: &Gather) -> Option<Vec<usize>> {
+/// Shards that the query asks; `None` if too few of them admit it.
+fn selection(host: &Host, call: &Call, gather: &Gather) -> Option<Selection> {
     let now = host.now();
-    let share = |service| {
-        let share = |b: &mut Balance| match b.has_room() {
-            true => b.admission().share(now),
-            false => 0.0,
-        };
-        host.balance(service, share).unwrap_or_default()
-    };
-    let shares: Vec<f64> = gather.shards.iter().map(share).collect();
-    let draws: Vec<f64> = shares.iter().map(|_| fastrand::f64()).collect();
-    select(&shares, &draws, gather.least())
+    let admitted = |service| host.balance(service, |b| b.admitted(now)).unwrap_or_default();
+    let shares: Vec<f64> = gather.shards.iter().map(admitted).collect();
+    let steps = host.view.borrow().table().urgency(&call.route);
+    select(&shares, draw(fastrand::f64(), steps), gather.least())
+}
+
+/// Takes note of what the end of a shard's request says of its load.
+fn record(host: &Host, service: &Name, outcome: Option<&Outcome>, aim: Instant) {
+    let now = host.now();
+    match outcome {
+        Some(outcome) if outcome.is_success() => admission(host, service, now < aim, now),
+        Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => {
+            admission(host, service, false, now);
+        }
+        // A failure says nothing of the load.
+        Some(_) => {}
+    }
 }
 
-fn record(host: &Host, service: &Name, in_time: bool, now: Instant) {
+fn admission(host: &Host, service: &Name, in_time: bool, now: Instant) {
     host.balance(service, |b| b.admission().record(in_time, now));
 }
 
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -190,7 +190,7 @@
             *reply.headers_mut() = passed_on(&answer.head.headers);
             reply
         }
-        Some(Outcome::NotRun(_)) | None => refused(host, call, attempts),
+        Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => refused(host, call, attempts),
         Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts),
     }
 }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -8,18 +8,27 @@
 /// Debt that a budget may have, in bursts.
 const CREDIT: f64 = 4.0;
 
+/// Part of the burst that hedges leave for retries, unless stated otherwise.
+const RESERVE: f64 = 0.5;
+
 /// Tokens for extra requests.
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
     share: f64,
     burst: f64,
+    reserve: f64,
 }
 
 impl Budget {
     /// Budget that starts with `burst` tokens, its most, and earns `share` for each sub-query.
     pub fn new(share: f64, burst: f64) -> Self {
-        Self { tokens: burst, share, burst }
+        Self { tokens: burst, share, burst, reserve: RESERVE }
+    }
+
+    /// The same budget, of whose burst hedges leave the part `reserve` for retries.
+    pub fn with_reserve(self, reserve: f64) -> Self {
+        Self { reserve, ..self }
     }
 
     /// Earns the share of one sub-query.
@@ -37,9 +46,9 @@
         self.tokens >= 1.0
     }
 
-    /// Spends a token on a hedge; false unless half of the burst stays for retries.
+    /// Spends a token on a hedge; false unless the reserve stays for retries.
     pub fn hedge(&mut self) -> bool {
-        self.spend(self.burst / 2.0)
+        self.spend(self.burst * self.reserve)
     }
 
     fn spend(&mut self, reserve: f64) -> bool {
--- a/crates/policy/src/direct/admission.rs
+++ b/crates/policy/src/direct/admission.rs
@@ -1,9 +1,9 @@
-//! Which shards a query does without, and which queries are refused, when shards are overloaded.
+//! Which share of the queries an overloaded shard is asked for.
 //!
 //! The load that this answers: a shard has lost replicas, and what is left of it can't answer
 //! every query in time. If all are sent there, its queue grows until all are late. A share of the
-//! queries is kept away instead, so that those that are sent are answered in time. A query that
-//! can do without the shard is answered with less coverage; one that can't is refused at once.
+//! queries is kept away instead, so that those that are sent are answered in time. A target that
+//! fails is not overloaded: turning queries away does not mend it.
 
 use std::time::{Duration, Instant};
 
@@ -60,13 +60,3 @@
         self.updated = now;
     }
 }
-
-/// Shards that a query asks, or `None` if it is to be refused since too few of them have room.
-///
-/// `shares` holds what each shard admits, 0 for one without targets; `draws` holds a random number
-/// from 0 to 1 for each; `least` is the number of shards that the answer needs.
-pub fn select(shares: &[f64], draws: &[f64], least: usize) -> Option<Vec<usize>> {
-    let admitted = |at: &usize| draws[*at] < shares[*at];
-    let chosen: Vec<usize> = (0..shares.len()).filter(admitted).collect();
-    (chosen.len() >= least).then_some(chosen)
-}
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -12,7 +12,10 @@
 use crate::Budget;
 
 /// Part of the permitted extra requests that is used.
-const EXTRA_USED: f64 = 0.8;
+const EXTRA_USED: f64 = 0.9;
+
+/// Part of the slack that hedges leave for retries.
+const RESERVE: f64 = 0.2;
 
 /// Differences of cost below this are decided at random, so that hosts don't all choose the same
 /// target.
@@ -46,6 +49,8 @@
     pub target: Arc<Target>,
     /// To be given back when the request ends.
     pub ticket: Ticket,
+    /// Whether it is only a substitute for targets in the host's own data centre.
+    pub substitute: bool,
 }
 
 /// The targets of one service.
@@ -69,7 +74,7 @@
             replicas: Vec::new(),
             cold: Map::default(),
             cold_rate: 0.0,
-            budget: Budget::new(shares.extra * EXTRA_USED, shares.burst()),
+            budget: Budget::new(shares.extra * EXTRA_USED, shares.burst()).with_reserve(RESERVE),
             shares,
             tickets: 0,
             limit: LEAST_HELD,
@@ -100,9 +105,10 @@
         self.cold.retain(|id, _| ids.contains(id));
     }
 
-    /// Whether some target may be sent one more request by this host.
-    pub fn has_room(&self) -> bool {
-        self.replicas.iter().any(|r| r.load() < self.limit)
+    /// Share of the queries that the service is asked for; 0 if no target has room.
+    pub fn admitted(&self, now: Instant) -> f64 {
+        let has_room = self.replicas.iter().any(|r| r.load() < self.limit);
+        if has_room { self.admission.share(now) } else { 0.0 }
     }
 
     /// Takes the most requests that this host may have at one target.
@@ -159,9 +165,11 @@
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let at = order.into_iter().map(|(_, at)| at).find(|at| self.admits(*at, now))?;
         self.tickets += 1;
+        let has_local = self.replicas.iter().any(Replica::is_local);
         let replica = &mut self.replicas[at];
         let ticket = replica.start(self.tickets, usual, overdue, now);
-        Some(Choice { target: replica.target().clone(), ticket })
+        let substitute = has_local && !replica.is_local();
+        Some(Choice { target: replica.target().clone(), ticket, substitute })
     }
 
     fn admits(&mut self, at: usize, now: Instant) -> bool {
@@ -184,13 +192,23 @@
         self.budget.earn();
     }
 
-    /// Takes leave for a second request because the first is slow.
-    pub fn may_hedge(&mut self) -> bool {
-        self.budget.hedge()
+    /// Takes leave for a second request because the first is slow at one of `open`; not if there
+    /// is no other target with room.
+    pub fn may_hedge(&mut self, open: &[Name]) -> bool {
+        self.has_other(open) && self.budget.hedge()
+    }
+
+    fn has_other(&self, but: &[Name]) -> bool {
+        self.replicas.iter().any(|r| r.load() < self.limit && !but.contains(&r.target().id))
     }
 
     /// Takes leave for a second request because the first has failed.
-    pub fn may_retry(&mut self) -> bool {
-        self.budget.retry()
+    pub fn may_retry(&mut self, open: &[Name]) -> bool {
+        self.has_other(open) && self.budget.retry()
+    }
+
+    /// Whether some target is not among `tried`.
+    pub fn has_untried(&self, tried: &[Name]) -> bool {
+        self.replicas.iter().any(|r| !tried.contains(&r.target().id))
     }
 }
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -1,10 +1,12 @@
 //! Decisions of a host that talks to targets itself, by its own view of them.
 //!
-//! - `admission`: what is done without or refused when shards are overloaded
+//! - `admission`: share of the queries that an overloaded shard is asked for
 //! - `replica`: one target as this host sees it
 //! - `balance`: which target of a service gets a request, and when a second one is asked
 //! - `typical`: usual latency of a route
 //! - `split`: which service of a weighted route gets a request
+//! - `retry`: when a target is asked again that could not take a request
+//! - `select`: which shards a query asks, does without, or is refused for
 //! - `cutoff`: when a scattered query is answered
 //! - `readers`: which hosts read the store
 
@@ -14,14 +16,18 @@
 mod cutoff;
 mod readers;
 mod replica;
+mod retry;
+mod select;
 mod split;
 mod typical;
 
-pub use admission::{Admission, select};
+pub use admission::Admission;
 pub use balance::{Balance, Choice, Shares};
 pub use cold::ColdLimit;
 pub use cutoff::{Cutoff, Decision};
 pub use readers::{Reading, patience};
 pub use replica::{Ending, Replica, SlowReport, Ticket};
+pub use retry::pause;
+pub use select::{Selection, draw, select};
 pub use split::Split;
 pub use typical::Typical;
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -128,6 +128,11 @@
         &self.target
     }
 
+    /// Whether the target stands in the host's own data centre.
+    pub fn is_local(&self) -> bool {
+        self.local
+    }
+
     /// Requests of this host that are in hand there.
     pub fn load(&self) -> usize {
         self.held.len()
--- a/crates/policy/src/direct/typical.rs
+++ b/crates/policy/src/direct/typical.rs
@@ -10,10 +10,10 @@
 const CLIP: f64 = 4.0;
 
 /// Deviations above the mean at which an answer counts as overdue.
-const DEVIATIONS: f64 = 3.0;
+const DEVIATIONS: f64 = 2.5;
 
 /// Least multiple of the mean at which an answer counts as overdue.
-const LEAST: f64 = 1.7;
+const LEAST: f64 = 1.5;
 
 /// Running mean and mean deviation of latencies.
 #[derive(Clone, Debug)]
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -7,7 +7,7 @@
 
 use sapphirerack_policy::direct::{
     Admission, Balance, ColdLimit, Cutoff, Decision, Ending, Reading, Shares, Split, Typical,
-    patience, select,
+    patience,
 };
 use sapphirerack_routes::{Target, Weighted};
 
@@ -134,7 +134,7 @@
     let sent = (0..100).filter(|_| balance.choose(&[], USUAL, OVERDUE, now).is_some()).count();
 
     assert_eq!(sent, 4);
-    assert!(!balance.has_room());
+    assert_eq!(balance.admitted(now), 0.0, "it has no room");
 }
 
 #[test]
@@ -170,16 +170,16 @@
 #[test]
 fn extra_requests_of_all_hosts_stay_within_the_budget_when_everything_fails() {
     let now = Instant::now();
-    let mut balances: Vec<Balance> =
-        (0..8).map(|_| Balance::new(SHARES, fastrand::Rng::with_seed(7), now)).collect();
+    let two = [target("a", "here"), target("b", "here")];
+    let mut balances: Vec<Balance> = (0..8).map(|_| balance(&two, now)).collect();
     let (mut requests, mut extra) = (0.0, 0.0);
 
     for _ in 0..500 {
         for balance in &mut balances {
             requests += 1.0;
             balance.earn();
-            extra += f64::from(u8::from(balance.may_retry()));
-            extra += f64::from(u8::from(balance.may_hedge()));
+            extra += f64::from(u8::from(balance.may_retry(&[])));
+            extra += f64::from(u8::from(balance.may_hedge(&[])));
         }
     }
 
@@ -192,13 +192,14 @@
     let now = Instant::now();
     let alone = Shares { hosts: 3, ..SHARES };
     let mut balance = Balance::new(alone, fastrand::Rng::with_seed(7), now);
-    while balance.may_retry() {}
+    balance.update(&[target("a", "here")], "here", 0.0, now);
+    while balance.may_retry(&[]) {}
 
     for hosts in 4..=75 {
         balance.set_shares(Shares { hosts, ..SHARES });
     }
 
-    assert!(!balance.may_retry());
+    assert!(!balance.may_retry(&[]));
 }
 
 /// One shard of two slots at 1.5 times its capacity: parts are in time only while no more are
@@ -253,18 +254,6 @@
     assert_eq!(admission.share(start + ms(10_000)), 1.0);
 }
 
-#[test]
-fn query_does_without_an_overloaded_shard_or_is_refused_at_once() {
-    let draws = [0.5; 10];
-    let mut shares = [1.0; 10];
-
-    assert_eq!(select(&shares, &draws, 9).unwrap().len(), 10);
-    shares[3] = 0.0;
-    assert_eq!(select(&shares, &draws, 9).unwrap().len(), 9);
-    shares[4] = 0.2;
-    assert_eq!(select(&shares, &draws, 9), None);
-}
-
 #[test]
 fn query_answers_at_its_aim_with_enough_and_waits_for_the_rest_before() {
     let now = Instant::now();
--- /dev/null
+++ b/crates/policy/tests/overload.rs
@@ -0,0 +1,126 @@
+//! Shards with too few replicas left, replayed against the choice of shards and of extra requests.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sapphirerack_policy::direct::{Balance, Shares, draw, pause, select};
+use sapphirerack_routes::Target;
+
+const SHARES: Shares = Shares { hosts: 75, extra: 0.2, slack: 190.0 };
+const USUAL: Duration = Duration::from_millis(10);
+const OVERDUE: Duration = Duration::from_millis(25);
+const QUERIES: usize = 10_000;
+
+fn target(id: &str) -> Arc<Target> {
+    Arc::new(Target {
+        id: id.into(),
+        service: "search".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "here".into(),
+        version: "v1".into(),
+        slots: 2,
+        draining: false,
+        cold: Duration::ZERO,
+        born: 1,
+        sequence: 1,
+    })
+}
+
+fn balance(ids: &[&str], now: Instant) -> Balance {
+    let targets: Vec<Arc<Target>> = ids.iter().map(|id| target(id)).collect();
+    let mut balance = Balance::new(SHARES, fastrand::Rng::with_seed(7), now);
+    balance.update(&targets, "here", 0.0, now);
+    balance
+}
+
+/// Share of the queries that are not refused.
+fn served(shares: &[f64], steps: u32, least: usize) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let admitted = |_: &usize| select(shares, draw(rng.f64(), steps), least).is_some();
+    (0..QUERIES).filter(admitted).count() as f64 / QUERIES as f64
+}
+
+#[test]
+fn query_does_without_an_overloaded_shard_or_is_refused_at_once() {
+    let mut shares = [1.0; 10];
+
+    assert_eq!(select(&shares, 0.5, 9).unwrap().asked.len(), 10);
+    shares[3] = 0.0;
+    assert_eq!(select(&shares, 0.5, 9).unwrap().asked.len(), 9);
+    shares[4] = 0.2;
+    assert_eq!(select(&shares, 0.5, 9), None);
+}
+
+#[test]
+fn overloaded_shards_turn_away_the_same_queries() {
+    // Ten of 36 shards admit 0.8 of the queries each. If each drew for itself, 0.8^10 of the
+    // queries, and those that lack a single shard, would be served: 0.38.
+    let mut shares = [1.0; 36];
+    shares[..10].fill(0.8);
+
+    let served = served(&shares, 0, 35);
+
+    assert!((0.78..0.82).contains(&served), "{served:.2} are served, 0.80 fit");
+}
+
+#[test]
+fn less_urgent_queries_are_turned_away_first() {
+    let shares = [0.7; 10];
+
+    let (urgent, other) = (served(&shares, 1, 9), served(&shares, 0, 9));
+
+    assert!(urgent > 0.85, "{urgent:.2} of the urgent queries are served");
+    assert!((0.65..0.75).contains(&other), "{other:.2} of the others are served");
+}
+
+#[test]
+fn shards_that_turn_a_query_away_are_its_reserve_but_for_those_without_targets() {
+    let shares = [1.0, 0.3, 0.0, 0.4, 1.0];
+
+    let selection = select(&shares, 0.5, 2).unwrap();
+
+    assert_eq!(selection.asked, [0, 4]);
+    assert_eq!(selection.spare, [1, 3], "the one that admits most is taken first");
+}
+
+#[test]
+fn only_replica_of_a_shard_costs_no_hedges() {
+    let now = Instant::now();
+    let mut balance = balance(&["a"], now);
+    let open = [balance.choose(&[], USUAL, OVERDUE, now).unwrap().target.id.clone()];
+
+    let hedges = (0..100).filter(|_| balance.may_hedge(&open)).count();
+
+    assert_eq!(hedges, 0);
+    assert!(balance.may_retry(&[]), "what was not spent on hedges is there for retries");
+}
+
+#[test]
+fn pauses_of_a_tenth_of_the_requests_are_hedged_with_75_hosts() {
+    let now = Instant::now();
+    let mut balance = balance(&["a", "b", "c"], now);
+    let (mut asked, mut hedged) = (0, 0);
+
+    // A pause hits some requests in a row, and then none for a while.
+    for n in 0..1_000 {
+        balance.earn();
+        if n % 20 < 2 {
+            asked += 1;
+            hedged += usize::from(balance.may_hedge(&[]));
+        }
+    }
+
+    assert!(hedged > asked * 9 / 10, "{hedged} of {asked} hedges were permitted");
+}
+
+#[test]
+fn tries_that_reach_no_target_are_spread_and_get_rarer() {
+    let pauses: Vec<Duration> = (1..8).map(|tries| pause(tries, 0.5)).collect();
+
+    assert!(pauses.is_sorted());
+    assert!(pauses[0] >= Duration::from_millis(5));
+    assert!(pauses[6] <= Duration::from_millis(100));
+    assert!(pause(3, 0.0) < pause(3, 1.0));
+}
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -11,6 +11,8 @@
 pub struct RouteTable {
     configuration: Configuration,
     hosts: Map<Name, Vec<Arc<Route>>>,
+    /// Rank of the least urgent route to each service.
+    least: Map<Name, u32>,
 }
 
 impl RouteTable {
@@ -23,7 +25,14 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { configuration, hosts }
+        let mut least: Map<Name, u32> = Map::default();
+        for route in &configuration.routes {
+            for service in route.services() {
+                let rank = least.entry(service.clone()).or_default();
+                *rank = route.priority.max(*rank);
+            }
+        }
+        Self { configuration, hosts, least }
     }
 
     /// The configuration.
@@ -31,6 +40,12 @@
         &self.configuration
     }
 
+    /// By how many ranks a route is more urgent than the least urgent one to its first service.
+    pub fn urgency(&self, route: &Route) -> u32 {
+        let first = route.services().first().and_then(|s| self.least.get(*s));
+        first.map_or(0, |least| least.saturating_sub(route.priority))
+    }
+
     /// Route with the longest prefix that begins the path; `host` may carry a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{Value, json};
 
-use platform_support::{Host, Manner, Store, Target, configuration, wait_until};
+use platform_support::{Host, Manner, Store, Target, configuration, free, wait_until};
 
 const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
 
@@ -96,6 +96,37 @@
     }
 }
 
+#[test]
+fn request_that_reached_no_target_is_sent_again_without_extra_requests() {
+    let Setup { store, shards, host, .. } = setup();
+    let address = free();
+    store.put("servers/late", &Target::announcement_of(address, "s2"));
+    for target in &shards[1] {
+        store.remove(&format!("servers/{}", target.id));
+    }
+    wait_until(|| host.get("/query/").header("missing-parts") == Some("1"));
+
+    let caller = host.open("/query/");
+    thread::sleep(Duration::from_millis(30));
+    let late = Target::start_as("late", address, &[7]);
+
+    let answer = Host::answer(caller);
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("missing-parts"), Some("0"));
+    assert_eq!(late.requests().len(), 1);
+}
+
+#[test]
+fn request_whose_answers_were_lost_goes_once_more_to_a_target_that_had_it() {
+    let setup = setup();
+    set(&setup.desk, Manner::LoseFirst(1));
+
+    let answer = setup.host.get("/read/x");
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(arrivals(&setup.desk), 3, "two that were lost, and one");
+}
+
 #[test]
 fn second_answer_on_a_connection_reaches_nobody() {
     let setup = setup();
--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -71,7 +71,11 @@
 }
 
 fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listen_at("127.0.0.1:0".parse().unwrap(), serve)
+}
+
+fn listen_at(address: SocketAddr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind(address).unwrap();
     let address = listener.local_addr().unwrap();
     let serve = Arc::new(serve);
     thread::spawn(move || {
@@ -219,6 +223,22 @@
     Twice,
     /// With nothing, until the connection ends.
     Hold,
+    /// Runs this many requests and breaks the connection, and is good then.
+    LoseFirst(usize),
+}
+
+impl Manner {
+    /// How the next request is answered.
+    fn next(&mut self) -> Self {
+        match self {
+            Self::LoseFirst(0) => Self::Good,
+            Self::LoseFirst(left) => {
+                *left -= 1;
+                Self::Lose
+            }
+            manner => *manner,
+        }
+    }
 }
 
 /// A target that counts what it is sent.
@@ -237,18 +257,27 @@
     /// A target whose part consists of these records, each a byte that is repeated.
     pub fn start(records: &[u8], manner: Manner) -> Self {
         let id = format!("i-{}", TARGETS.fetch_add(1, Ordering::Relaxed));
+        Self::start_with(id, "127.0.0.1:0".parse().unwrap(), records, manner)
+    }
+
+    /// A good target with a given id and address.
+    pub fn start_as(id: &str, address: SocketAddr, records: &[u8]) -> Self {
+        Self::start_with(id.into(), address, records, Manner::Good)
+    }
+
+    fn start_with(id: String, address: SocketAddr, records: &[u8], manner: Manner) -> Self {
         let manner = Arc::new(Mutex::new(manner));
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
         let body: Vec<u8> = records.iter().flat_map(|r| [*r; 16]).collect();
         let (shared, seen, own) = (manner.clone(), requests.clone(), id.clone());
         let ended: Arc<AtomicUsize> = Arc::default();
         let count = ended.clone();
-        let address = listen(move |stream| {
+        let address = listen_at(address, move |stream| {
             let mut out = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
             while let Some(request) = read_message(&mut reader) {
                 seen.lock().unwrap().push(request.clone());
-                let manner = *shared.lock().unwrap();
+                let manner = shared.lock().unwrap().next();
                 if manner == Manner::Hold {
                     // The host sends nothing more; this ends with the connection.
                     let _ = reader.read(&mut [0]);
@@ -278,13 +307,18 @@
     }
 
     /// What the target announces.
-    pub fn announcement(&self, service: &str) -> Value {
+    pub fn announcement_of(address: SocketAddr, service: &str) -> Value {
         json!({
-            "Upstream": service, "Address": self.address, "Zone": "here", "Version": "v1",
+            "Upstream": service, "Address": address, "Zone": "here", "Version": "v1",
             "Slots": 2, "State": "ready", "WarmupLeftMs": 0, "Seq": 1, "born": 1,
         })
     }
 
+    /// What this target announces.
+    pub fn announcement(&self, service: &str) -> Value {
+        Self::announcement_of(self.address, service)
+    }
+
     /// Signature of its answers.
     pub fn seal(&self) -> String {
         format!("seal.{}", self.id)
@@ -309,7 +343,7 @@
             let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt)];
             Some(answer("503 Service Unavailable", &headers, b""))
         }
-        Manner::Lose | Manner::Hold => None,
+        Manner::Lose | Manner::LoseFirst(_) | Manner::Hold => None,
         Manner::Foreign => {
             let headers = [("Attempt-Id", "another"), ("Server-Seal", seal.as_str())];
             Some(answer("200 OK", &headers, body))
@@ -467,7 +501,7 @@
     )
 }
 
-fn free() -> SocketAddr {
+pub fn free() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
