Tell refused callers when enough shards will admit them

Cause: a refusal named 0.15 to 0.6 s at random, whatever the load was. Ruled out: one time for all (callers would return together). Change: policy::direct::room_after works out when the share that enough shards admit has grown to the query's draw; as draws differ, callers return spread. Without targets nothing is known, and the time stays random. Refusals are counted by route and reason, and the log line names the reason. Tests: three replays in policy/tests/overload.rs.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -22,6 +22,7 @@
     extra: Counter<u64>,
     connections: Counter<u64>,
     target_failures: Counter<u64>,
+    refusals: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
 }
@@ -36,6 +37,7 @@
             extra: meters.counter("extra_requests"),
             connections: meters.counter("target_connections"),
             target_failures: meters.counter("target_failures"),
+            refusals: meters.counter("refusals"),
             store_calls: meters.counter("store_calls"),
             store_failures: meters.counter("store_failures"),
             meters,
@@ -68,6 +70,11 @@
         self.target_failures.add(1, &[label("service", service)]);
     }
 
+    /// Counts a request that was refused as not run.
+    pub(crate) fn refused(&self, route: &Name, reason: &'static str) {
+        self.refusals.add(1, &[label("route", route), KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a call to the store that was answered.
     pub(crate) fn store_called(&self) {
         self.store_calls.add(1, &[]);
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::{Cutoff, Decision, Selection, draw, select};
+use sapphirerack_policy::direct::{Cutoff, Decision, Selection, draw, room_after, select};
 use sapphirerack_routes::Gather;
 
 use crate::ask::{Attempts, ask};
@@ -34,8 +34,9 @@
 pub(crate) enum Gathered {
     /// An answer, with signatures, missing shards and records.
     Answer { seals: HeaderValue, parts: usize, body: Bytes },
-    /// Too many shards are overloaded or without targets; none was asked.
-    Refused,
+    /// Too many shards are overloaded or without targets; none was asked. Room is expected after
+    /// this time, if that is known.
+    Refused { after: Option<Duration> },
     /// Too few parts.
     Short { parts: usize },
 }
@@ -48,8 +49,10 @@
     fresh: bool,
     attempts: &Attempts,
 ) -> Gathered {
-    let Some(selection) = selection(host, call, gather) else { return Gathered::Refused };
-    let Selection { asked, mut spare } = selection;
+    let Selection { asked, mut spare } = match selection(host, call, gather) {
+        Ok(selection) => selection,
+        Err(after) => return Gathered::Refused { after },
+    };
     let aim = latest_answer(host, call, fresh);
     let total = gather.shards.len();
     let cutoff = Cutoff { total, least: gather.least(), aim, deadline: call.deadline };
@@ -106,13 +109,18 @@
     call.start + call.route.aim.saturating_sub(distance * ways + AIM_MARGIN)
 }
 
-/// Shards that the query asks; `None` if too few of them admit it.
-fn selection(host: &Host, call: &Call, gather: &Gather) -> Option<Selection> {
+/// Shards that the query asks.
+///
+/// # Errors
+///
+/// Too few of them admit it; tells when enough will, if that is known.
+fn selection(host: &Host, call: &Call, gather: &Gather) -> Result<Selection, Option<Duration>> {
     let now = host.now();
     let admitted = |service| host.balance(service, |b| b.admitted(now)).unwrap_or_default();
     let shares: Vec<f64> = gather.shards.iter().map(admitted).collect();
     let steps = host.view.borrow().table().urgency(&call.route);
-    select(&shares, draw(fastrand::f64(), steps), gather.least())
+    let (draw, least) = (draw(fastrand::f64(), steps), gather.least());
+    select(&shares, draw, least).ok_or_else(|| room_after(&shares, draw, least))
 }
 
 /// Takes note of what the end of a shard's request says of its load.
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -33,11 +33,15 @@
 /// Time before the caller's deadline at which a request is ended.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
-/// Shortest and longest time after which a caller is asked to come back, in seconds.
-const RETRY_AFTER: (f64, f64) = (0.15, 0.6);
+/// Shortest and longest time after which a caller is asked to come back when nothing tells when
+/// there will be room.
+const UNKNOWN_ROOM: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
 
-/// Time after which a caller comes back to a host that has no configuration yet, in seconds.
-const START_TIME: f64 = 0.5;
+/// Shortest time after which a caller is asked to come back.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+
+/// Time after which a caller comes back to a host that has no configuration yet.
+const START_TIME: Duration = Duration::from_millis(500);
 
 /// Answers a request; `fresh` says that its connection was opened for it.
 pub(crate) async fn answer(host: Rc<Host>, request: Request<Incoming>, fresh: bool) -> Reply {
@@ -167,8 +171,12 @@
             host.metrics.covered(&call.route.name, parts as f64 / shards.shards.len() as f64);
             reply
         }
-        Gathered::Refused => refused(host, call, attempts),
-        Gathered::Short { .. } if !attempts.is_started() => refused(host, call, attempts),
+        Gathered::Refused { after } => {
+            refused(host, call, "too few shards admit it", after, attempts)
+        }
+        Gathered::Short { .. } if !attempts.is_started() => {
+            refused(host, call, "no target has room", None, attempts)
+        }
         Gathered::Short { parts } => {
             let reason = format!("parts={parts}/{}", shards.shards.len());
             let status = if host.now() >= call.deadline { 504 } else { 502 };
@@ -190,17 +198,27 @@
             *reply.headers_mut() = passed_on(&answer.head.headers);
             reply
         }
-        Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => refused(host, call, attempts),
+        Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => {
+            refused(host, call, "no target took it", None, attempts)
+        }
         Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts),
     }
 }
 
-/// Refuses a request that has not run, with a time to come back that differs between callers.
-fn refused(host: &Host, call: &Call, attempts: &Attempts) -> Reply {
-    let (least, most) = RETRY_AFTER;
-    let after = least + fastrand::f64() * (most - least);
-    log_failure(host, call, 503, "not run", attempts);
-    refuse(after)
+/// Refuses a request that has not run; tells the caller to come back `after` this time, or, if
+/// that is not known, after one that differs between callers.
+fn refused(
+    host: &Host,
+    call: &Call,
+    reason: &'static str,
+    after: Option<Duration>,
+    attempts: &Attempts,
+) -> Reply {
+    let (least, most) = UNKNOWN_ROOM;
+    let unknown = || least + (most - least).mul_f64(fastrand::f64());
+    host.metrics.refused(&call.route.name, reason);
+    log_failure(host, call, 503, &format!("not run: {reason}"), attempts);
+    refuse(after.map_or_else(unknown, |after| after.max(LEAST_WAIT)))
 }
 
 fn failure(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) -> Reply {
@@ -220,10 +238,11 @@
     );
 }
 
-/// Says that a request has not run and when to come back, in seconds.
-fn refuse(after: f64) -> Reply {
+/// Says that a request has not run and when to come back.
+fn refuse(after: Duration) -> Reply {
     let mut reply = empty(503);
-    if let Ok(after) = HeaderValue::from_str(&format!("{after:.3}")) {
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    if let Ok(after) = HeaderValue::from_str(&seconds) {
         reply.headers_mut().insert(header::RETRY_AFTER, after);
     }
     reply
--- a/crates/policy/src/direct/admission.rs
+++ b/crates/policy/src/direct/admission.rs
@@ -22,6 +22,11 @@
 /// Least admitted share, so that a recovery is seen.
 const LEAST: f64 = 0.1;
 
+/// Time until a share has grown by `by`, if no more aims are missed.
+pub(super) fn growth_time(by: f64) -> Duration {
+    Duration::from_secs_f64((by / INCREASE).clamp(0.0, 1.0 / INCREASE))
+}
+
 /// Share of the queries that one shard is asked for.
 #[derive(Clone, Debug)]
 pub struct Admission {
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -28,6 +28,6 @@
 pub use readers::{Reading, patience};
 pub use replica::{Ending, Replica, SlowReport, Ticket};
 pub use retry::pause;
-pub use select::{Selection, draw, select};
+pub use select::{Selection, draw, room_after, select};
 pub use split::Split;
 pub use typical::Typical;
--- a/crates/policy/src/direct/select.rs
+++ b/crates/policy/src/direct/select.rs
@@ -7,6 +7,10 @@
 //! are the same that the others turn away, so that whole queries are shed and the rest are served
 //! in full. More urgent queries draw lower, so that others are shed first.
 
+use std::time::Duration;
+
+use super::admission::growth_time;
+
 /// Factor of the draw for each step of urgency above the least urgent route.
 const URGENCY: f64 = 0.8;
 
@@ -40,3 +44,14 @@
     spare.sort_by(|a, b| shares[*a].total_cmp(&shares[*b]));
     (asked.len() >= least).then_some(Selection { asked, spare })
 }
+
+/// Time after which enough shards are expected to admit a query that was refused; `None` if too
+/// few have room for any query.
+///
+/// Later draws are admitted later, so that refused callers do not return together.
+pub fn room_after(shares: &[f64], draw: f64, least: usize) -> Option<Duration> {
+    let mut shares = shares.to_vec();
+    shares.sort_by(|a, b| b.total_cmp(a));
+    let weakest = *shares.get(least.checked_sub(1)?)?;
+    (weakest > 0.0).then(|| growth_time(draw - weakest))
+}
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sapphirerack_policy::direct::{Balance, Shares, draw, pause, select};
+use sapphirerack_policy::direct::{Admission, Balance, Shares, draw, pause, room_after, select};
 use sapphirerack_routes::Target;
 
 const SHARES: Shares = Shares { hosts: 75, extra: 0.2, slack: 190.0 };
@@ -124,3 +124,39 @@
     assert!(pauses[6] <= Duration::from_millis(100));
     assert!(pause(3, 0.0) < pause(3, 1.0));
 }
+
+/// A shard after a time in which every part was late.
+fn overloaded(now: Instant) -> Admission {
+    let mut admission = Admission::new(now);
+    (0..10).for_each(|_| admission.record(false, now));
+    admission
+}
+
+#[test]
+fn refused_query_is_told_when_its_draw_will_be_admitted() {
+    let now = Instant::now();
+    let admission = overloaded(now);
+    let shares = |at| [1.0, 1.0, admission.share(at)];
+    let draw = 0.9;
+
+    let after = room_after(&shares(now), draw, 3).unwrap();
+
+    assert_eq!(select(&shares(now), draw, 3), None);
+    assert_eq!(select(&shares(now + after / 2), draw, 3), None, "it is not too long");
+    let then = now + after + Duration::from_millis(1);
+    assert!(select(&shares(then), draw, 3).is_some(), "it is not too short");
+}
+
+#[test]
+fn refused_queries_are_not_told_to_return_together() {
+    let shares = [1.0, 0.2];
+    let after = |draw| room_after(&shares, draw, 2).unwrap();
+
+    assert!(after(0.9) > after(0.3) + Duration::from_secs(1));
+}
+
+#[test]
+fn nothing_is_promised_of_a_shard_without_targets() {
+    assert_eq!(room_after(&[1.0, 0.0], 0.5, 2), None);
+    assert_eq!(room_after(&[], 0.5, 1), None);
+}
