Soak hosts of the platform under cuts, kills, stops and a failing store

Cause: nothing played faults on separate processes of 'forward' outside the bench; hosts learnt each other's own addresses, so that no relay could stand between them.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -268,6 +268,6 @@
     /// Whether the others ask this host first.
     fn is_seed(&self) -> bool {
         let settings = self.settings.borrow();
-        settings.seeds.iter().any(|s| s.ip() == settings.listen.hosts.ip())
+        settings.seeds.iter().any(|s| s.ip() == settings.listen.advertised().ip())
     }
 }
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -80,7 +80,7 @@
     let own = HostName {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
-        address: settings.listen.hosts,
+        address: settings.listen.advertised(),
     };
     let timing = Timing { interval: peers::INTERVAL, suspicion: SUSPICION, ..Timing::default() };
     let mut members = Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -20,7 +20,7 @@
     pub listen: Listen,
     /// Address of the store.
     pub store: SocketAddr,
-    /// Hosts to ask first; the port is that of `listen.hosts`, whatever stands here.
+    /// Hosts to ask first; the port is that at which hosts reach this one, whatever stands here.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// What all hosts together may do.
@@ -40,7 +40,7 @@
 impl Settings {
     /// Addresses of the other hosts that are asked first; all hosts use the same port.
     pub(crate) fn seed_hosts(&self) -> Vec<SocketAddr> {
-        let own = self.listen.hosts;
+        let own = self.listen.advertised();
         let others = self.seeds.iter().filter(|s| s.ip() != own.ip());
         others.map(|s| (s.ip(), own.port()).into()).collect()
     }
@@ -56,6 +56,16 @@
     pub ready: SocketAddr,
     /// Other hosts: datagrams, and TCP on the same port.
     pub hosts: SocketAddr,
+    /// Address at which other hosts reach `hosts`, if that is another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<SocketAddr>,
+}
+
+impl Listen {
+    /// Address at which other hosts reach this one.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.hosts)
+    }
 }
 
 /// What all hosts together may do.
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -25,10 +25,27 @@
     pub cut: bool,
     /// Connections are closed and new ones closed at once.
     pub closed: bool,
+    /// Nothing passes back; what is sent forth arrives.
+    pub mute: bool,
     /// Time by which every chunk and datagram is delayed.
     pub delay: Duration,
 }
 
+impl RelayFault {
+    fn stops(&self, way: Way) -> bool {
+        self.cut || (self.mute && way == Way::Back)
+    }
+}
+
+/// Direction of traffic.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Towards the target.
+    Forth,
+    /// From the target.
+    Back,
+}
+
 /// Bytes of TCP that a relay has passed.
 #[derive(Debug, Default)]
 struct Passed {
@@ -47,6 +64,19 @@
     /// Relays TCP and UDP at one port of 127.0.0.1 to `target`.
     pub fn start(target: SocketAddr) -> Self {
         let (tcp, udp) = bind();
+        Self::serve(tcp, udp, target)
+    }
+
+    /// The same at a given address.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> Self {
+        let tcp = std::net::TcpListener::bind(address).unwrap();
+        let udp = std::net::UdpSocket::bind(address).unwrap();
+        tcp.set_nonblocking(true).unwrap();
+        udp.set_nonblocking(true).unwrap();
+        Self::serve(tcp, udp, target)
+    }
+
+    fn serve(tcp: std::net::TcpListener, udp: std::net::UdpSocket, target: SocketAddr) -> Self {
         let address = tcp.local_addr().unwrap();
         let (fault, faults) = watch::channel(RelayFault::default());
         let passed = Arc::new(Passed::default());
@@ -89,9 +119,9 @@
     let _ = faults.wait_for(|f| f.closed).await;
 }
 
-/// Waits until traffic passes.
-async fn open(faults: &mut watch::Receiver<RelayFault>) -> Option<Duration> {
-    faults.wait_for(|f| !f.cut).await.ok().map(|f| f.delay)
+/// Waits until traffic passes that way.
+async fn open(faults: &mut watch::Receiver<RelayFault>, way: Way) -> Option<Duration> {
+    faults.wait_for(|f| !f.stops(way)).await.ok().map(|f| f.delay)
 }
 
 async fn accept(
@@ -122,7 +152,7 @@
     faults: &watch::Receiver<RelayFault>,
     passed: &Passed,
 ) {
-    if open(&mut faults.clone()).await.is_none() {
+    if open(&mut faults.clone(), Way::Forth).await.is_none() {
         return;
     }
     let Ok(far) = TcpStream::connect(target).await else { return };
@@ -130,8 +160,8 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let forth = pass(near_read, far_write, faults.clone(), &passed.forth);
-    let back = pass(far_read, near_write, faults.clone(), &passed.back);
+    let forth = pass(near_read, far_write, faults.clone(), Way::Forth, &passed.forth);
+    let back = pass(far_read, near_write, faults.clone(), Way::Back, &passed.back);
     unless(forth, back).await;
 }
 
@@ -140,6 +170,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<RelayFault>,
+    way: Way,
     passed: &AtomicU64,
 ) {
     let (sender, mut chunks) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS);
@@ -156,7 +187,7 @@
     };
     let write = async {
         while let Some((time, chunk)) = chunks.recv().await {
-            let Some(delay) = open(&mut faults).await else { return };
+            let Some(delay) = open(&mut faults, way).await else { return };
             tokio::time::sleep_until((time + delay).into()).await;
             if to.write_all(&chunk).await.is_err() {
                 return;
@@ -190,7 +221,7 @@
                 far
             }
         };
-        forward(far, target, datagram[..len].to_vec(), *faults.borrow());
+        forward(far, target, datagram[..len].to_vec(), *faults.borrow(), Way::Forth);
     }
 }
 
@@ -207,13 +238,13 @@
     let mut ended = std::pin::pin!(ended);
     while let Some(received) = unless(far.recv_from(&mut datagram), &mut ended).await {
         let Ok((len, _)) = received else { continue };
-        forward(near.clone(), sender, datagram[..len].to_vec(), *faults.borrow());
+        forward(near.clone(), sender, datagram[..len].to_vec(), *faults.borrow(), Way::Back);
     }
 }
 
 /// Sends a datagram on, unless the relay is cut: then it is lost.
-fn forward(socket: Arc<UdpSocket>, to: SocketAddr, datagram: Vec<u8>, fault: RelayFault) {
-    if fault.cut || fault.closed {
+fn forward(socket: Arc<UdpSocket>, to: SocketAddr, datagram: Vec<u8>, fault: RelayFault, way: Way) {
+    if fault.stops(way) || fault.closed {
         return;
     }
     tokio::spawn(async move {
--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,6 +23,9 @@
 
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Id of the attempt of requests that state none.
+const ATTEMPT: &str = "attempt-1";
+
 /// Head and body of a message.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -248,6 +251,7 @@
     pub address: SocketAddr,
     manner: Arc<Mutex<Manner>>,
     requests: Arc<Mutex<Vec<Message>>>,
+    ran: Arc<Mutex<Vec<String>>>,
     ended: Arc<AtomicUsize>,
 }
 
@@ -269,7 +273,9 @@
         let manner = Arc::new(Mutex::new(manner));
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
         let body: Vec<u8> = records.iter().flat_map(|r| [*r; 16]).collect();
+        let ran: Arc<Mutex<Vec<String>>> = Arc::default();
         let (shared, seen, own) = (manner.clone(), requests.clone(), id.clone());
+        let runs = ran.clone();
         let ended: Arc<AtomicUsize> = Arc::default();
         let count = ended.clone();
         let address = listen_at(address, move |stream| {
@@ -278,6 +284,10 @@
             while let Some(request) = read_message(&mut reader) {
                 seen.lock().unwrap().push(request.clone());
                 let manner = shared.lock().unwrap().next();
+                if manner != Manner::Refuse && is_meant_for(&request, &own) {
+                    let attempt = request.header("attempt-id").unwrap_or_default();
+                    runs.lock().unwrap().push(attempt.to_owned());
+                }
                 if manner == Manner::Hold {
                     // The host sends nothing more; this ends with the connection.
                     let _ = reader.read(&mut [0]);
@@ -290,7 +300,7 @@
                 }
             }
         });
-        Self { id, address, manner, requests, ended }
+        Self { id, address, manner, requests, ran, ended }
     }
 
     pub fn set(&self, manner: Manner) {
@@ -301,6 +311,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Attempts of the requests that it did not refuse.
+    pub fn ran(&self) -> Vec<String> {
+        self.ran.lock().unwrap().clone()
+    }
+
     /// Requests that ended with their connection while they were held.
     pub fn ended(&self) -> usize {
         self.ended.load(Ordering::Relaxed)
@@ -319,18 +334,22 @@
         Self::announcement_of(self.address, service)
     }
 
-    /// Signature of its answers.
+    /// Signature of its answer to the attempt that [`Host::get`] makes.
     pub fn seal(&self) -> String {
-        format!("seal.{}", self.id)
+        format!("seal.{}.{ATTEMPT}", self.id)
     }
 }
 
+fn is_meant_for(request: &Message, id: &str) -> bool {
+    request.header("expect-instance") == Some(id)
+}
+
 fn reply_as(manner: Manner, id: &str, request: &Message, body: &[u8]) -> Option<Vec<u8>> {
-    if request.header("expect-instance") != Some(id) {
+    if !is_meant_for(request, id) {
         return Some(answer("421 Misdirected Request", &[], b""));
     }
     let attempt = request.header("attempt-id").unwrap_or_default();
-    let seal = format!("seal.{id}");
+    let seal = format!("seal.{id}.{attempt}");
     let signed = [("Attempt-Id", attempt), ("Server-Seal", seal.as_str())];
     let good = answer("200 OK", &signed, body);
     match manner {
@@ -409,18 +428,24 @@
             "store": store.address, "seeds": [hosts],
             "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": stop,
         });
+        Self::start_set(callers, ready, &settings, out)
+    }
+
+    /// Starts a host with these settings, which name the addresses for callers and readiness.
+    pub fn start_set(callers: SocketAddr, ready: SocketAddr, settings: &Value, out: Stdio) -> Self {
         let name = format!("forward-{}-{}.json", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_sapphirerack"))
-            .arg("forward")
-            .env("SAPPHIRERACK_SETTINGS", &path)
-            .stdout(out)
-            .spawn()
-            .unwrap();
+        let child = spawn(&path, out);
         Self { callers, ready, settings: path, child }
     }
 
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self, out: Stdio) {
+        let _ = self.child.wait();
+        self.child = spawn(&self.settings, out);
+    }
+
     /// Waits until the host says that it is ready.
     pub fn await_ready(&self) {
         wait_until(|| self.is_ready());
@@ -443,7 +468,7 @@
     /// Sends a request without waiting for its answer.
     pub fn open(&self, path: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).unwrap();
-        stream.write_all(request("GET", path, "attempt-1", LONG_MS, "").as_bytes()).unwrap();
+        stream.write_all(request("GET", path, ATTEMPT, LONG_MS, "").as_bytes()).unwrap();
         stream
     }
 
@@ -464,13 +489,18 @@
     }
 
     pub fn get(&self, path: &str) -> Message {
-        self.send("GET", path, "attempt-1", "").unwrap()
+        self.send("GET", path, ATTEMPT, "").unwrap()
     }
 
     /// Tells the process to stop.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
     /// Waits for the end of the process; true if it ended well.
@@ -493,7 +523,16 @@
     }
 }
 
-fn request(method: &str, path: &str, attempt: &str, budget: u32, body: &str) -> String {
+fn spawn(settings: &Path, out: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_sapphirerack"))
+        .arg("forward")
+        .env("SAPPHIRERACK_SETTINGS", settings)
+        .stdout(out)
+        .spawn()
+        .unwrap()
+}
+
+pub fn request(method: &str, path: &str, attempt: &str, budget: u32, body: &str) -> String {
     let len = body.len();
     format!(
         "{method} {path} HTTP/1.1\r\nHost: find.example\r\nAttempt-Id: {attempt}\r\n\
