--- /dev/null
+++ b/crates/sapphirerack/tests/platform_support/store.rs
@@ -0,0 +1,123 @@
+//! The platform's store.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+
+use super::message::{answer, listen, read_message};
+
+#[derive(Default)]
+struct Items {
+    values: BTreeMap<String, (Vec<u8>, u64)>,
+    events: Vec<(String, u64, Option<Vec<u8>>)>,
+    revision: u64,
+    forgotten: u64,
+    away: bool,
+}
+
+/// The platform's store, with lists and watches.
+#[derive(Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    items: Arc<Mutex<Items>>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let items: Arc<Mutex<Items>> = Arc::default();
+        let shared = items.clone();
+        let address = listen(move |stream| {
+            let mut out = stream.try_clone().unwrap();
+            let mut reader = BufReader::new(stream);
+            while let Some(request) = read_message(&mut reader) {
+                let reply = reply(&shared.lock().unwrap(), request.path());
+                if out.write_all(&reply).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { address, items }
+    }
+
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    pub fn put_bytes(&self, key: &str, bytes: Vec<u8>) {
+        let mut items = self.items.lock().unwrap();
+        items.revision += 1;
+        let revision = items.revision;
+        items.values.insert(key.to_owned(), (bytes.clone(), revision));
+        items.events.push((key.to_owned(), revision, Some(bytes)));
+    }
+
+    pub fn remove(&self, key: &str) {
+        let mut items = self.items.lock().unwrap();
+        items.revision += 1;
+        let revision = items.revision;
+        items.values.remove(key);
+        items.events.push((key.to_owned(), revision, None));
+    }
+
+    /// Answers nothing but refusals while it is away.
+    pub fn set_away(&self, away: bool) {
+        self.items.lock().unwrap().away = away;
+    }
+
+    /// Forgets what changed so far.
+    pub fn forget_history(&self) {
+        let mut items = self.items.lock().unwrap();
+        items.events.clear();
+        items.forgotten = items.revision;
+    }
+}
+
+fn reply(items: &Items, path: &str) -> Vec<u8> {
+    if items.away {
+        return answer("503 Service Unavailable", &[], b"");
+    }
+    let query = path.split_once('?').map_or("", |(_, q)| q);
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        pairs.into_iter().find(|(n, _)| *n == name).map_or(String::new(), |(_, v)| v.to_owned())
+    };
+    let prefix = value("Prefix");
+    if path.starts_with("/kv-range") {
+        let rows = items.values.iter().filter(|(k, _)| k.starts_with(&prefix));
+        let rows: Vec<Value> = rows
+            .map(|(k, (v, r))| json!({ "Key": k, "Value": base64(v), "Revision": r }))
+            .collect();
+        let body = json!({ "items": rows, "HasMore": false, "StoreRevision": items.revision });
+        return answer("200 OK", &[], body.to_string().as_bytes());
+    }
+    let after: u64 = value("after").parse().unwrap_or(0);
+    if after < items.forgotten {
+        return answer("410 Gone", &[], b"");
+    }
+    let events = items.events.iter().filter(|(k, r, _)| k.starts_with(&prefix) && *r > after);
+    let events: Vec<Value> = events
+        .map(|(k, r, v)| match v {
+            Some(v) => json!({ "Key": k, "Value": base64(v), "Revision": r }),
+            None => json!({ "Key": k, "Revision": r, "Deleted": true }),
+        })
+        .collect();
+    let body = json!({ "events": events, "StoreRevision": items.revision });
+    answer("200 OK", &[], body.to_string().as_bytes())
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let padded = [chunk, &[0, 0][..3 - chunk.len()]].concat();
+        let bits = padded.iter().fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
+        for at in 0..4 {
+            let digit = DIGITS[(bits >> (18 - 6 * at) & 63) as usize] as char;
+            text.push(if at <= chunk.len() { digit } else { '=' });
+        }
+    }
+    text
+}
