Count a target once that ran a request and then refused it

Cause, found on reading the diff: a target that may have run a request and refused it when it was sent there once more was struck off the targets that ran it, so that a third target could run it where the route allows two (BUDGET). Change: one entry for each time; a refusal takes back only its own. Test: refusal_does_not_hide_that_its_target_may_have_run_the_request_before failed first (3 targets for 2).

--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -10,7 +10,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use sapphirerack_catalogue::Name;
+use sapphirerack_catalogue::{Name, Set};
 use sapphirerack_policy::direct::{Balance, Choice, pause};
 use tokio::task::{AbortHandle, JoinHandle, spawn_local};
 
@@ -24,7 +24,7 @@
 /// Most times that a request is sent while targets refuse it.
 const MOST_OFFERS: usize = 4;
 
-/// Most times that a connection for a request is sought.
+/// Most times that a request is tried, whether or not it reaches a target.
 const MOST_TRIES: usize = 8;
 
 /// Requests at targets on behalf of one request of a caller.
@@ -147,7 +147,7 @@
     tried: Vec<Name>,
     /// Targets that may answer yet.
     open: Vec<Name>,
-    /// Targets that may have run the request.
+    /// Targets that may have run the request, once for each time.
     ran: Vec<Name>,
     /// Times that nothing reached a target.
     unsent: usize,
@@ -173,16 +173,15 @@
         let id = &choice.target.id;
         self.open.push(id.clone());
         self.tried.push(id.clone());
-        if !self.ran.contains(id) {
-            self.ran.push(id.clone());
-        }
+        self.ran.push(id.clone());
         self.hedge = self.call.route.idempotent.then(|| now + overdue);
         Some(self.spawn(choice))
     }
 
     /// Whether a further target may be sent the request.
     fn may_spread(&self) -> bool {
-        self.ran.len() < self.call.route.attempts as usize
+        let distinct: Set<&Name> = self.ran.iter().collect();
+        distinct.len() < self.call.route.attempts as usize
     }
 
     /// Targets that may not be sent the request again now.
@@ -223,8 +222,9 @@
         self.attempts.note(target, &what);
         self.host.metrics.target_failed(self.service);
         self.open.retain(|id| **id != *target);
-        if outcome.has_not_run() {
-            self.ran.retain(|id| **id != *target);
+        let ran = self.ran.iter().position(|id| **id == *target);
+        if let Some(at) = ran.filter(|_| outcome.has_not_run()) {
+            self.ran.swap_remove(at);
         }
         self.unsent += usize::from(matches!(outcome, Outcome::Unsent(_)));
     }
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -127,6 +127,26 @@
     assert_eq!(arrivals(&setup.desk), 3, "two that were lost, and one");
 }
 
+#[test]
+fn refusal_does_not_hide_that_its_target_may_have_run_the_request_before() {
+    let Setup { store, desk, host, .. } = setup();
+    let third = Target::start(&[5], Manner::Good);
+    announce(&store, "desk", std::slice::from_ref(&third));
+    wait_until(|| {
+        host.get("/read/x");
+        !third.requests().is_empty()
+    });
+    let targets = [desk[0].clone(), desk[1].clone(), third];
+    let before: Vec<usize> = targets.iter().map(|t| t.ran().len()).collect();
+    set(&targets, Manner::LoseThenRefuse);
+
+    let answer = host.send("GET", "/read/x", "attempt-2", "").unwrap();
+
+    let ran = targets.iter().zip(before).filter(|(t, n)| t.ran().len() > *n).count();
+    assert_eq!(ran, 2, "the route allows two targets");
+    assert_eq!(answer.status(), 502);
+}
+
 #[test]
 fn second_answer_on_a_connection_reaches_nobody() {
     let setup = setup();
--- a/crates/sapphirerack/tests/platform_support/target.rs
+++ b/crates/sapphirerack/tests/platform_support/target.rs
@@ -37,6 +37,8 @@
     Hold,
     /// Runs this many requests and breaks the connection, and is good then.
     LoseFirst(usize),
+    /// Runs one request and breaks the connection, and refuses all others.
+    LoseThenRefuse,
 }
 
 impl Manner {
@@ -48,6 +50,10 @@
                 *left -= 1;
                 Self::Lose
             }
+            Self::LoseThenRefuse => {
+                *self = Self::Refuse;
+                Self::Lose
+            }
             manner => *manner,
         }
     }
@@ -171,7 +177,7 @@
             let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt)];
             Some(answer("503 Service Unavailable", &headers, b""))
         }
-        Manner::Lose | Manner::LoseFirst(_) | Manner::Hold => None,
+        Manner::Lose | Manner::LoseFirst(_) | Manner::LoseThenRefuse | Manner::Hold => None,
         Manner::Foreign => {
             let headers = [("Attempt-Id", "another"), ("Server-Seal", seal.as_str())];
             Some(answer("200 OK", &headers, body))
