Hold back removals of many targets at once

Ruled out: the age of the view as a sign (rank changes reach the same ages as short outages, and holding back then would delay a real removal beyond its bound). Change: routes::Lapses takes a reading that removes more than a fifth of the usable targets, and three at least, for a lapse: they are used until they would be back. Tests: targets_that_vanish_together failed first (503 for 200); routes/tests/lapse.rs.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -107,6 +107,7 @@
             synced = synced.min(found.revision);
             events.extend(found.events);
         }
+        self.count_removed(&events);
         let mut changed = false;
         for event in events {
             changed |= self.apply(event);
@@ -118,6 +119,15 @@
         Ok(())
     }
 
+    /// Takes note of how many usable targets the events remove.
+    fn count_removed(&mut self, events: &[Event]) {
+        let view = self.host.view.borrow();
+        let usable: Set<&Name> = view.usable().map(|t| &t.id).collect();
+        let removed = events.iter().filter(|e| e.value.is_none()).map(|e| self.read_item(e));
+        let is_usable = |item: &Item| matches!(item, Item::Target(id, _) if usable.contains(id));
+        self.lapses.removed(removed.filter(is_usable).count(), usable.len());
+    }
+
     async fn list_all(&mut self, start: Instant) -> Result<()> {
         if self.expired && self.host.view.borrow().synced() > 0 {
             // What vanished unseen may have lapsed.
--- /dev/null
+++ b/crates/routes/tests/lapse.rs
@@ -0,0 +1,35 @@
+//! When removals from the store are believed.
+
+use std::time::{Duration, Instant};
+
+use sapphirerack_routes::Lapses;
+
+const RETURN: Duration = Duration::from_millis(2_300);
+
+/// Lapses after one reading that removes `count` of `usable` targets.
+fn after_removal(count: usize, usable: usize, now: Instant) -> Lapses {
+    let mut lapses = Lapses::default();
+    lapses.removed(count, usable);
+    lapses.store_back(now);
+    lapses
+}
+
+#[test]
+fn targets_that_vanish_together_are_believed_gone_only_when_others_would_be_back() {
+    let now = Instant::now();
+
+    let mut lapses = after_removal(60, 127, now);
+
+    assert!(lapses.hold(now));
+    assert!(!lapses.is_due(now + RETURN / 2));
+    assert!(lapses.is_due(now + RETURN));
+    assert!(!lapses.hold(now + RETURN));
+}
+
+#[test]
+fn few_targets_that_vanish_are_gone_at_once() {
+    let now = Instant::now();
+
+    assert!(!after_removal(2, 4, now).hold(now), "two can end at the same time");
+    assert!(!after_removal(20, 127, now).hold(now), "a service can be made smaller");
+}
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -293,6 +293,31 @@
     wait_until(|| setup.host.get("/read/x").status() == 200);
 }
 
+#[test]
+fn targets_that_vanish_together_are_used_until_it_is_sure_that_they_have_gone() {
+    let Setup { store, shards, desk, host } = setup();
+    let entries: Vec<(String, Value)> = shards
+        .iter()
+        .zip(SHARDS)
+        .flat_map(|(targets, service)| targets.iter().map(move |t| (t, service)))
+        .chain(desk.iter().map(|t| (t, "desk")))
+        .map(|(t, service)| (format!("servers/{}", t.id), t.announcement(service)))
+        .collect();
+
+    // They lapsed while the store was away and no host read it.
+    entries.iter().for_each(|(key, _)| store.remove(key));
+    thread::sleep(Duration::from_millis(1_500));
+    let meanwhile = host.get("/query/");
+    entries.iter().for_each(|(key, entry)| store.put(key, entry));
+    thread::sleep(Duration::from_millis(2_000));
+
+    assert_eq!(meanwhile.status(), 200);
+    assert_eq!(meanwhile.header("missing-parts"), Some("0"));
+    assert_eq!(host.get("/query/").header("missing-parts"), Some("0"));
+    entries.iter().for_each(|(key, _)| store.remove(key));
+    wait_until(|| host.get("/query/").status() == 503);
+}
+
 #[test]
 fn older_configuration_is_not_taken_and_a_newer_one_is_in_force_soon() {
     let setup = setup();
