Refuse at once what nobody reaches, and say which target held a request

Cause, found on reading the change again: "what never reached a target is tried again" also held for connections that nobody answered (400 ms each, eight tries), so that queries in a cut data centre waited for their deadline. Besides: a request that ended at its deadline was logged with targets="", so its cause could not be found; a host had one extra request free however many hosts there are (5,200 hosts against a slack of 190); a 504 left 5 ms before the deadline, less than the way to the caller. Change: Outcome::Unreached goes to a target that was not tried, and nowhere else; a shard all of whose targets were unreached in the last 1.5 s, or silent for longer than a pause, admits nothing, so that queries which need it are refused at once; the log names targets without an answer; budgets begin with the share of the slack; the margin before the deadline holds the way back. gather is split; fixtures of policy's tests stand once; the soak compares a query's records; three fields of the lab's report have two words. Tests: seven replays in policy/tests/overload.rs (the budget's two failed first), log_names_the_target in tests/platform.rs, a bad history more for the soak.

--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -27,13 +27,21 @@
 /// Most times that a request is tried, whether or not it reaches a target.
 const MOST_TRIES: usize = 8;
 
+/// A request at one target, for the log.
+struct Step {
+    target: Name,
+    /// How it ended, if it has.
+    end: Option<String>,
+}
+
 /// Requests at targets on behalf of one request of a caller.
 ///
 /// If this is dropped before the answer, since the caller has gone, all of them are ended at once.
 #[derive(Default)]
 pub(crate) struct Attempts {
     handles: RefCell<Vec<AbortHandle>>,
-    trail: RefCell<Vec<String>>,
+    /// What is known of each target that has not answered well, in the order of sending.
+    trail: RefCell<Vec<Step>>,
     answered: std::cell::Cell<bool>,
 }
 
@@ -43,14 +51,28 @@
         self.answered.set(true);
     }
 
-    /// Takes note of what happened at a target, for the log.
-    pub(crate) fn note(&self, target: &str, what: &str) {
-        self.trail.borrow_mut().push(format!("{target}:{what}"));
+    fn sent(&self, target: &Name, task: AbortHandle) {
+        self.handles.borrow_mut().push(task);
+        self.trail.borrow_mut().push(Step { target: target.clone(), end: None });
+    }
+
+    /// Takes note of the end of a request at a target; `end` says how, unless it was a good answer.
+    fn ended(&self, target: &str, end: Option<String>) {
+        let mut trail = self.trail.borrow_mut();
+        let Some(at) = trail.iter().rposition(|s| *s.target == *target && s.end.is_none()) else {
+            return;
+        };
+        match end {
+            Some(_) => trail[at].end = end,
+            None => drop(trail.remove(at)),
+        }
     }
 
     /// What happened at the targets, but for good answers.
     pub(crate) fn trail(&self) -> String {
-        self.trail.borrow().join(",")
+        let trail = self.trail.borrow();
+        let step = |s: &Step| format!("{}:{}", s.target, s.end.as_deref().unwrap_or("no_answer"));
+        trail.iter().map(step).collect::<Vec<_>>().join(",")
     }
 
     /// Whether a target was sent the request.
@@ -119,6 +141,7 @@
         };
         let Some((target, outcome)) = outcome else { return last };
         if outcome.is_success() {
+            attempts.ended(&target, None);
             return Some(outcome);
         }
         asking.failed(&target, &outcome);
@@ -196,7 +219,7 @@
         let id = choice.target.id.clone();
         let run = attempt(self.host.clone(), self.call.clone(), self.service.clone(), choice);
         let task: JoinHandle<Outcome> = spawn_local(run);
-        self.attempts.handles.borrow_mut().push(task.abort_handle());
+        self.attempts.sent(&id, task.abort_handle());
         Box::pin(async move {
             let outcome = task.await;
             (id, outcome.unwrap_or_else(|e| Outcome::Unknown(format!("task ended: {e}"))))
@@ -217,32 +240,39 @@
             Outcome::Answered(answer) => answer.head.status.as_u16().to_string(),
             Outcome::NotRun(reason) => format!("not_run({reason})"),
             Outcome::Unsent(reason) => format!("unsent({reason})"),
+            Outcome::Unreached(reason) => format!("unreached({reason})"),
             Outcome::Unknown(reason) => format!("unknown({reason})"),
         };
-        self.attempts.note(target, &what);
+        self.attempts.ended(target, Some(what));
         self.host.metrics.target_failed(self.service);
         self.open.retain(|id| **id != *target);
         let ran = self.ran.iter().position(|id| **id == *target);
         if let Some(at) = ran.filter(|_| outcome.has_not_run()) {
             self.ran.swap_remove(at);
         }
-        self.unsent += usize::from(matches!(outcome, Outcome::Unsent(_)));
+        let unsent = matches!(outcome, Outcome::Unsent(_) | Outcome::Unreached(_));
+        self.unsent += usize::from(unsent);
     }
 
     fn retry(&mut self, outcome: &Outcome) -> Option<Running> {
         if !self.may_retry(outcome) || self.host.now() >= self.call.deadline {
             return None;
         }
+        let now = self.host.now();
+        let untried = self.host.balance(self.service, |b| b.has_untried(&self.tried, now));
+        let untried = self.may_spread() && untried.unwrap_or_default();
+        if !untried && matches!(outcome, Outcome::Unreached(_)) {
+            return None;
+        }
         // What never reached a target is no extra request.
-        if !matches!(outcome, Outcome::Unsent(_)) {
+        if !matches!(outcome, Outcome::Unsent(_) | Outcome::Unreached(_)) {
             self.host.balance(self.service, |b| b.may_retry(&self.open)).filter(|may| *may)?;
             self.host.metrics.extra(&self.call.route.name, "retry");
         }
-        let untried = self.host.balance(self.service, |b| b.has_untried(&self.tried));
-        if self.may_spread() && untried.unwrap_or_default() {
+        if untried {
             return self.start();
         }
-        self.again = Some(self.host.now() + pause(self.tried.len(), fastrand::f64()));
+        self.again = Some(now + pause(self.tried.len(), fastrand::f64()));
         None
     }
 
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -13,6 +13,7 @@
 use sapphirerack_routes::Route;
 
 use crate::client::{Answer, Connection, Failed};
+use crate::error::Category;
 use crate::host::Host;
 
 /// Longest time for which a connection to a substitute is kept idle. There are more hosts than
@@ -42,8 +43,10 @@
     Answered(Answer),
     /// The target refused it: it has not run it and never will.
     NotRun(String),
-    /// Nothing of it has reached the target.
+    /// Nothing of it has reached the target, which may take it soon.
     Unsent(String),
+    /// Nothing of it has reached the target, and nobody answers there.
+    Unreached(String),
     /// It may have run; there is no answer.
     Unknown(String),
 }
@@ -51,7 +54,7 @@
 impl Outcome {
     /// Whether the request has certainly not run.
     pub(crate) fn has_not_run(&self) -> bool {
-        matches!(self, Self::NotRun(_) | Self::Unsent(_))
+        matches!(self, Self::NotRun(_) | Self::Unsent(_) | Self::Unreached(_))
     }
 
     /// Whether the answer says that the request succeeded.
@@ -110,6 +113,10 @@
                 host.metrics.connected();
                 connection
             }
+            Err(e) if e.classify() == Category::Timeout => {
+                hand.ending = Ending::Unreached;
+                return Outcome::Unreached(e.to_string());
+            }
             Err(e) => {
                 hand.ending = Ending::Failed;
                 return Outcome::Unsent(e.to_string());
@@ -129,8 +136,8 @@
             hand.ending = match &outcome {
                 Outcome::Answered(a) if a.head.status.is_server_error() => Ending::Failed,
                 Outcome::Answered(_) => Ending::Answered,
-                Outcome::NotRun(_) | Outcome::Unsent(_) => Ending::Refused,
-                Outcome::Unknown(_) => Ending::Failed,
+                outcome if outcome.has_not_run() => Ending::Refused,
+                _ => Ending::Failed,
             };
             if let Outcome::Answered(a) = &outcome {
                 // The rest of a body that the target did not wait for would follow.
--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -15,6 +15,8 @@
     System,
     /// A peer did not answer as its interface promises.
     Peer,
+    /// A peer did not answer in time.
+    Timeout,
     /// A peer does not keep the history that was asked for.
     Expired,
 }
@@ -101,7 +103,8 @@
             Code::Syntax(_) | Code::Rule(_) => Category::Settings,
             Code::Io(_) | Code::Metrics(_) => Category::System,
             Code::Status(410) => Category::Expired,
-            Code::Http(_) | Code::Timeout | Code::Status(_) | Code::Malformed(_) => Category::Peer,
+            Code::Timeout => Category::Timeout,
+            Code::Http(_) | Code::Status(_) | Code::Malformed(_) => Category::Peer,
         }
     }
 }
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -25,7 +25,8 @@
 type Record = [u8; RECORD];
 
 /// The part of one shard.
-pub(crate) struct Part {
+struct Part {
+    shard: usize,
     seal: HeaderValue,
     body: Bytes,
 }
@@ -60,43 +61,55 @@
         (shard, ask(host, call, &gather.shards[shard], attempts).await)
     };
     let mut open: FuturesUnordered<_> = asked.iter().map(|shard| ask(*shard)).collect();
-    let mut waiting = asked;
-    let mut parts: Vec<Part> = Vec::with_capacity(total);
-    let mut missing: Vec<usize> = (0..total).collect();
+    let mut state = Gathering { parts: Vec::with_capacity(total), waiting: asked };
     loop {
-        let reachable = parts.len() + open.len();
+        let reachable = state.parts.len() + open.len();
         if reachable < cutoff.least
             && let Some(shard) = spare.pop()
         {
             open.push(ask(shard));
-            waiting.push(shard);
+            state.waiting.push(shard);
             continue;
         }
-        match cutoff.decide(parts.len(), open.len(), host.now()) {
-            Decision::Wait(until) => {
-                let next = tokio::time::timeout_at(until.into(), open.next()).await;
-                let Ok(Some((shard, outcome))) = next else { continue };
-                waiting.retain(|w| *w != shard);
-                record(host, &gather.shards[shard], outcome.as_ref(), aim);
-                if let Some(part) = outcome.and_then(|o| part(host, o)) {
-                    parts.push(part);
-                    missing.retain(|m| *m != shard);
-                }
-            }
-            decision => {
-                let now = host.now();
-                if now >= aim {
-                    let late = waiting.iter().map(|shard| &gather.shards[*shard]);
-                    late.for_each(|service| admission(host, service, false, now));
-                }
-                log_missing(host, call, gather, &missing, attempts);
-                return match decision {
-                    Decision::Answer => merge(&parts, gather.top),
-                    _ => Gathered::Short { parts: parts.len() },
-                };
-            }
+        let Decision::Wait(until) = cutoff.decide(state.parts.len(), open.len(), host.now()) else {
+            break;
+        };
+        let next = tokio::time::timeout_at(until.into(), open.next()).await;
+        if let Ok(Some((shard, outcome))) = next {
+            record(host, &gather.shards[shard], outcome.as_ref(), aim);
+            state.settle(shard, outcome.and_then(|o| part(host, shard, o)));
         }
     }
+    let now = host.now();
+    if now >= aim {
+        let late = state.waiting.iter().map(|shard| &gather.shards[*shard]);
+        late.for_each(|service| admission(host, service, false, now));
+    }
+    log_missing(host, call, gather, &state, attempts);
+    if state.parts.len() < cutoff.least {
+        return Gathered::Short { parts: state.parts.len() };
+    }
+    merge(&state.parts, gather.top)
+}
+
+/// What a query has got so far.
+struct Gathering {
+    parts: Vec<Part>,
+    /// Shards that were asked and have not settled.
+    waiting: Vec<usize>,
+}
+
+impl Gathering {
+    /// Takes note of the end of a shard's request.
+    fn settle(&mut self, shard: usize, part: Option<Part>) {
+        self.waiting.retain(|w| *w != shard);
+        self.parts.extend(part);
+    }
+
+    /// First of `total` shards without a part.
+    fn first_missing(&self, total: usize) -> Option<usize> {
+        (0..total).find(|shard| self.parts.iter().all(|p| p.shard != *shard))
+    }
 }
 
 /// Latest time for an answer that reaches the caller within its aim.
@@ -131,7 +144,7 @@
         Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => {
             admission(host, service, false, now);
         }
-        // A failure says nothing of the load.
+        // Neither a failure nor a target that can't be reached says anything of the load.
         Some(_) => {}
     }
 }
@@ -140,29 +153,30 @@
     host.balance(service, |b| b.admission().record(in_time, now));
 }
 
-fn log_missing(host: &Host, call: &Call, gather: &Gather, missing: &[usize], tries: &Attempts) {
-    let Some(first) = missing.first().and_then(|shard| gather.shards.get(*shard)) else { return };
+fn log_missing(host: &Host, call: &Call, gather: &Gather, state: &Gathering, attempts: &Attempts) {
+    let total = gather.shards.len();
+    let Some(first) = state.first_missing(total).map(|shard| &gather.shards[shard]) else { return };
     let Some(suppressed) = host.shortages.admit(host.now()) else { return };
     let id = call.id.to_str().unwrap_or("?");
     log::info!(
         "event=parts_missing id={id} route={} missing={}/{} first={first} replicas=\"{}\" \
          targets=\"{}\" left_ms={} suppressed={suppressed}",
         call.route.name,
-        missing.len(),
-        gather.shards.len(),
+        total - state.parts.len(),
+        total,
         host.describe(first),
-        tries.trail(),
+        attempts.trail(),
         call.deadline.saturating_duration_since(host.now()).as_millis(),
     );
 }
 
-fn part(host: &Host, outcome: Outcome) -> Option<Part> {
+fn part(host: &Host, shard: usize, outcome: Outcome) -> Option<Part> {
     if !outcome.is_success() {
         return None;
     }
     let Outcome::Answered(answer) = outcome else { return None };
     let seal = answer.head.headers.get(&host.dialect.headers.seal)?.clone();
-    Some(Part { seal, body: answer.body })
+    Some(Part { shard, seal, body: answer.body })
 }
 
 fn merge(parts: &[Part], top: usize) -> Gathered {
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -30,7 +30,7 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
-/// Time before the caller's deadline at which a request is ended.
+/// Time before the caller's deadline, besides the way there and back, at which a request is ended.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
 /// Shortest and longest time after which a caller is asked to come back when nothing tells when
@@ -106,7 +106,8 @@
     let stated = headers.get(&host.dialect.headers.budget);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
     let wait = stated.map_or(route.timeout, |ms| route.timeout.min(Duration::from_millis(ms)));
-    wait.saturating_sub(DEADLINE_MARGIN)
+    let distance = host.settings.borrow().queries.distance;
+    wait.saturating_sub(DEADLINE_MARGIN + distance * 2)
 }
 
 /// Path and query, without what proxies are sent before them.
@@ -198,10 +199,8 @@
             *reply.headers_mut() = passed_on(&answer.head.headers);
             reply
         }
-        Some(Outcome::NotRun(_) | Outcome::Unsent(_)) | None => {
-            refused(host, call, "no target took it", None, attempts)
-        }
         Some(Outcome::Unknown(reason)) => failure(host, call, 502, &reason, attempts),
+        Some(_) | None => refused(host, call, "no target took it", None, attempts),
     }
 }
 
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -146,7 +146,7 @@
         tallies.values().for_each(|tally| all.merge(tally));
         let mut whole = self.describe("all", rate, &all);
         self.targets(&mut whole, fleet, tallies);
-        whole.cpu_us_per_query = cpu.as_secs_f64() * 1e6 / all.queries.max(1) as f64;
+        whole.query_cpu = cpu.as_secs_f64() * 1e6 / all.queries.max(1) as f64;
         let mut runs = vec![whole];
         if self.file.mix.len() > 1 {
             for (i, portion) in self.file.mix.iter().enumerate() {
@@ -207,9 +207,9 @@
             slots += target.slots;
             let share = |most: u32| f64::from(most) / f64::from(target.slots);
             run.most_running = run.most_running.max(counters.most_running);
-            run.held_to_slots = run.held_to_slots.max(share(counters.most_held));
+            run.held_ratio = run.held_ratio.max(share(counters.most_held));
             let connections = server.most_connections() as f64 / f64::from(target.connections);
-            run.connections_to_limit = run.connections_to_limit.max(connections);
+            run.connection_ratio = run.connection_ratio.max(connections);
             run.most_cold = run.most_cold.max(counters.most_cold);
             run.overloads += counters.overloads;
             run.shed += counters.shed;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -48,9 +48,9 @@
     /// Most requests that ran at the same time at any target.
     pub most_running: u32,
     /// Most requests that ran or waited at any target, over its slots.
-    pub held_to_slots: f64,
+    pub held_ratio: f64,
     /// Most connections at any target, refused ones included, over its limit.
-    pub connections_to_limit: f64,
+    pub connection_ratio: f64,
     /// Most requests at any target while it was cold.
     pub most_cold: u32,
     /// Requests to cold targets beyond what they bear.
@@ -63,8 +63,8 @@
     pub mixed: u64,
     /// Answers that report another coverage than they have.
     pub false_coverage: u64,
-    /// Processor time of all hosts by query; 0 for baselines.
-    pub cpu_us_per_query: f64,
+    /// Processor time of all hosts by query, in microseconds; 0 for baselines.
+    pub query_cpu: f64,
 }
 
 impl Default for Run {
@@ -89,15 +89,15 @@
             extra: 0.0,
             busy: 0.0,
             most_running: 0,
-            held_to_slots: 0.0,
-            connections_to_limit: 0.0,
+            held_ratio: 0.0,
+            connection_ratio: 0.0,
             most_cold: 0,
             overloads: 0,
             shed: 0,
             foreign: 0,
             mixed: 0,
             false_coverage: 0,
-            cpu_us_per_query: 0.0,
+            query_cpu: 0.0,
         }
     }
 }
@@ -119,8 +119,8 @@
     Column { title: "refused %", value: |r| share(r.refused, r.queries), digits: 1 },
     Column { title: "extra %", value: |r| r.extra * 100.0, digits: 1 },
     Column { title: "busy %", value: |r| r.busy * 100.0, digits: 0 },
-    Column { title: "held/slots", value: |r| r.held_to_slots, digits: 1 },
-    Column { title: "conn/limit", value: |r| r.connections_to_limit, digits: 2 },
+    Column { title: "held/slots", value: |r| r.held_ratio, digits: 1 },
+    Column { title: "conn/limit", value: |r| r.connection_ratio, digits: 2 },
     Column { title: "most cold", value: |r| f64::from(r.most_cold), digits: 0 },
     Column {
         title: "dishonest",
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -26,6 +26,11 @@
         Self { tokens: burst, share, burst, reserve: RESERVE }
     }
 
+    /// Takes away what it has above `tokens`.
+    pub fn limit(&mut self, tokens: f64) {
+        self.tokens = self.tokens.min(tokens);
+    }
+
     /// The same budget, of whose burst hedges leave the part `reserve` for retries.
     pub fn with_reserve(self, reserve: f64) -> Self {
         Self { reserve, ..self }
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -36,9 +36,15 @@
 }
 
 impl Shares {
-    /// Extra requests that one host may send beyond what it has earned.
+    /// Extra requests that one host may send before it has earned any.
+    fn free(&self) -> f64 {
+        self.slack * EXTRA_USED / self.hosts.max(1) as f64
+    }
+
+    /// Most extra requests that one host saves up. Where the hosts are more than the slack, each
+    /// has to earn even the first one.
     fn burst(&self) -> f64 {
-        (self.slack * EXTRA_USED / self.hosts.max(1) as f64).max(1.0)
+        self.free().max(1.0)
     }
 }
 
@@ -70,11 +76,14 @@
 impl Balance {
     /// A service without targets; `rng` breaks ties.
     pub fn new(shares: Shares, rng: fastrand::Rng, now: Instant) -> Self {
+        let budget = Budget::new(shares.extra * EXTRA_USED, shares.burst());
+        let mut budget = budget.with_reserve(RESERVE);
+        budget.limit(shares.free());
         Self {
             replicas: Vec::new(),
             cold: Map::default(),
             cold_rate: 0.0,
-            budget: Budget::new(shares.extra * EXTRA_USED, shares.burst()).with_reserve(RESERVE),
+            budget,
             shares,
             tickets: 0,
             limit: LEAST_HELD,
@@ -105,10 +114,10 @@
         self.cold.retain(|id, _| ids.contains(id));
     }
 
-    /// Share of the queries that the service is asked for; 0 if no target has room.
+    /// Share of the queries that the service is asked for; 0 if no target has room and responds.
     pub fn admitted(&self, now: Instant) -> f64 {
-        let has_room = self.replicas.iter().any(|r| r.load() < self.limit);
-        if has_room { self.admission.share(now) } else { 0.0 }
+        let is_usable = |r: &Replica| r.load() < self.limit && !r.is_unresponsive(now);
+        if self.replicas.iter().any(is_usable) { self.admission.share(now) } else { 0.0 }
     }
 
     /// Takes the most requests that this host may have at one target.
@@ -123,8 +132,12 @@
 
     /// Takes changed shares.
     pub fn set_shares(&mut self, shares: Shares) {
+        if shares == self.shares {
+            return;
+        }
         self.shares = shares;
         self.budget.resize(shares.extra * EXTRA_USED, shares.burst());
+        self.budget.limit(shares.free());
     }
 
     /// The targets.
@@ -207,8 +220,9 @@
         self.has_other(open) && self.budget.retry()
     }
 
-    /// Whether some target is not among `tried`.
-    pub fn has_untried(&self, tried: &[Name]) -> bool {
-        self.replicas.iter().any(|r| !tried.contains(&r.target().id))
+    /// Whether some target is not among `tried` and responds.
+    pub fn has_untried(&self, tried: &[Name], now: Instant) -> bool {
+        let is_untried = |r: &Replica| !tried.contains(&r.target().id) && !r.is_unresponsive(now);
+        self.replicas.iter().any(is_untried)
     }
 }
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -33,6 +33,12 @@
 /// How much a target that is silent beyond its usual time counts as slower.
 const SILENCE_WEIGHT: f64 = 40.0;
 
+/// Time for which a target is silent after which it does not just pause.
+const LONG_SILENCE: Duration = Duration::from_millis(400);
+
+/// Time after an opening of a connection that nobody answered before the target is tried again.
+const UNREACHED_TIME: Duration = Duration::from_millis(1_500);
+
 /// How much a request that is already there counts as slower.
 const LOAD_WEIGHT: f64 = 0.6;
 
@@ -74,6 +80,8 @@
     Refused,
     /// With an error, a broken connection or an answer that can't be used.
     Failed,
+    /// Nobody answered when a connection was opened.
+    Unreached,
     /// The caller needs it no more.
     Cancelled,
     /// It was never sent; nothing was learnt.
@@ -99,6 +107,8 @@
     observed: Instant,
     heard: Instant,
     cold_until: Instant,
+    /// When nobody answered there, unless something has come since.
+    unreached: Option<Instant>,
     /// Times in a row that the target was slow.
     strikes: u32,
     struck: Option<Instant>,
@@ -118,6 +128,7 @@
             observed: now,
             heard: now,
             cold_until,
+            unreached: None,
             strikes: 0,
             struck: None,
         }
@@ -171,11 +182,15 @@
         let latency = now.saturating_duration_since(held.since);
         match ending {
             Ending::Answered => {
-                self.heard = now;
+                self.hear_answer(now);
                 self.observe(&held, latency, 0.0, now);
             }
             Ending::Refused | Ending::Failed => {
-                self.heard = now;
+                self.hear_answer(now);
+                self.fail(now);
+            }
+            Ending::Unreached => {
+                self.unreached = Some(now);
                 self.fail(now);
             }
             // It would have taken at least as long as this.
@@ -188,6 +203,11 @@
         Some(latency)
     }
 
+    fn hear_answer(&mut self, now: Instant) {
+        self.heard = now;
+        self.unreached = None;
+    }
+
     fn observe(&mut self, held: &Held, latency: Duration, failing: f64, now: Instant) {
         let ratio = latency.as_secs_f64() / held.usual.as_secs_f64().max(1e-4);
         let ratio = ratio.clamp(*SLOWNESS.start(), *SLOWNESS.end());
@@ -233,6 +253,13 @@
         self.held.iter().any(|h| now > h.since + h.overdue && self.heard <= h.since)
     }
 
+    /// Whether nothing has come from the target for longer than a pause explains.
+    pub fn is_unresponsive(&self, now: Instant) -> bool {
+        let unreached = self.unreached.is_some_and(|at| now < at + UNREACHED_TIME);
+        let silent = |h: &Held| now > h.since + h.overdue.max(LONG_SILENCE);
+        unreached || self.held.iter().any(|h| silent(h) && self.heard <= h.since)
+    }
+
     /// Whether the target was found to be slow just now, and not for the first time.
     pub fn is_struck(&self, now: Instant) -> bool {
         self.struck == Some(now) && self.is_slow()
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
 
+mod direct_support;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,39 +13,16 @@
 };
 use sapphirerack_routes::{Target, Weighted};
 
-const USUAL: Duration = Duration::from_millis(10);
-const OVERDUE: Duration = Duration::from_millis(25);
-const SHARES: Shares = Shares { hosts: 8, extra: 0.2, slack: 56.0 };
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+use direct_support::{OVERDUE, USUAL, balance_of, ms, target};
 
-fn target(id: &str, data_centre: &str) -> Arc<Target> {
-    Arc::new(Target {
-        id: id.into(),
-        service: "search".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: data_centre.into(),
-        version: "v1".into(),
-        slots: 2,
-        draining: false,
-        cold: Duration::ZERO,
-        born: 1,
-        sequence: 1,
-    })
-}
+const SHARES: Shares = Shares { hosts: 8, extra: 0.2, slack: 56.0 };
 
 fn cold(id: &str) -> Arc<Target> {
     Arc::new(Target { cold: ms(3_000), ..(*target(id, "here")).clone() })
 }
 
-/// A service with targets in the host's own data centre.
 fn balance(targets: &[Arc<Target>], now: Instant) -> Balance {
-    let mut balance = Balance::new(SHARES, fastrand::Rng::with_seed(7), now);
-    balance.update(targets, "here", 0.0, now);
-    balance.set_limit(4);
-    balance
+    balance_of(targets, SHARES, now)
 }
 
 /// Sends `count` requests, one each `gap`, of which those at `slow` take ten times as long; tells
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -2,37 +2,24 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
 
+mod direct_support;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sapphirerack_policy::direct::{Admission, Balance, Shares, draw, pause, room_after, select};
+use sapphirerack_policy::direct::{
+    Admission, Balance, Ending, Shares, draw, pause, room_after, select,
+};
 use sapphirerack_routes::Target;
 
+use direct_support::{OVERDUE, USUAL, balance_of, ms, target};
+
 const SHARES: Shares = Shares { hosts: 75, extra: 0.2, slack: 190.0 };
-const USUAL: Duration = Duration::from_millis(10);
-const OVERDUE: Duration = Duration::from_millis(25);
 const QUERIES: usize = 10_000;
 
-fn target(id: &str) -> Arc<Target> {
-    Arc::new(Target {
-        id: id.into(),
-        service: "search".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "here".into(),
-        version: "v1".into(),
-        slots: 2,
-        draining: false,
-        cold: Duration::ZERO,
-        born: 1,
-        sequence: 1,
-    })
-}
-
 fn balance(ids: &[&str], now: Instant) -> Balance {
-    let targets: Vec<Arc<Target>> = ids.iter().map(|id| target(id)).collect();
-    let mut balance = Balance::new(SHARES, fastrand::Rng::with_seed(7), now);
-    balance.update(&targets, "here", 0.0, now);
-    balance
+    let targets: Vec<Arc<Target>> = ids.iter().map(|id| target(id, "here")).collect();
+    balance_of(&targets, SHARES, now)
 }
 
 /// Share of the queries that are not refused.
@@ -160,3 +147,87 @@
     assert_eq!(room_after(&[1.0, 0.0], 0.5, 2), None);
     assert_eq!(room_after(&[], 0.5, 1), None);
 }
+
+#[test]
+fn shard_that_nobody_reaches_is_not_asked_until_it_is_time_to_look_again() {
+    let start = Instant::now();
+    let mut balance = balance(&["a", "b"], start);
+    let cut = start + ms(400);
+    for _ in 0..2 {
+        let choice = balance.choose(&[], USUAL, OVERDUE, start).unwrap();
+        balance.end(&choice, Ending::Unreached, cut);
+    }
+
+    assert_eq!(balance.admitted(cut), 0.0, "a query that needs it is refused at once");
+    assert_eq!(balance.admitted(cut + ms(1_000)), 0.0);
+    assert!(balance.admitted(cut + ms(2_000)) > 0.0, "a return is seen");
+}
+
+#[test]
+fn shard_is_asked_again_once_one_of_its_targets_responds() {
+    let start = Instant::now();
+    let mut balance = balance(&["a", "b"], start);
+    let choices = [(); 2].map(|()| balance.choose(&[], USUAL, OVERDUE, start).unwrap());
+    let later = start + ms(500);
+    assert_eq!(balance.admitted(later), 0.0, "both are silent for longer than a pause");
+
+    balance.end(&choices[0], Ending::Answered, later);
+
+    assert!(balance.admitted(later) > 0.0);
+}
+
+#[test]
+fn pause_does_not_close_a_shard() {
+    let start = Instant::now();
+    let mut balance = balance(&["a"], start);
+    let _open = balance.choose(&[], USUAL, OVERDUE, start).unwrap();
+
+    assert!(balance.admitted(start + ms(200)) > 0.0);
+}
+
+#[test]
+fn first_extra_requests_of_5200_hosts_keep_to_the_slack() {
+    let now = Instant::now();
+    let shares = Shares { hosts: 5_200, ..SHARES };
+    let targets = [target("a", "here"), target("b", "here")];
+    let first = || f64::from(u8::from(balance_of(&targets, shares, now).may_retry(&[])));
+
+    let extra: f64 = (0..5_200).map(|_| first()).sum();
+
+    assert!(extra <= SHARES.slack, "{extra} extra requests before any was earned");
+}
+
+#[test]
+fn host_that_learns_of_5200_hosts_has_no_extra_request_left_that_it_did_not_earn() {
+    let now = Instant::now();
+    let targets = [target("a", "here"), target("b", "here")];
+    let mut balance = balance_of(&targets, Shares { hosts: 3, ..SHARES }, now);
+
+    balance.set_shares(Shares { hosts: 5_200, ..SHARES });
+
+    assert!(!balance.may_retry(&[]));
+}
+
+#[test]
+fn earned_extra_requests_stay_while_the_shares_are_the_same() {
+    let shares = Shares { hosts: 5_200, ..SHARES };
+    let targets = [target("a", "here"), target("b", "here")];
+    let mut balance = balance_of(&targets, shares, Instant::now());
+    (0..10).for_each(|_| balance.earn());
+
+    balance.set_shares(shares);
+
+    assert!(balance.may_retry(&[]));
+}
+
+#[test]
+fn one_of_5200_hosts_may_retry_what_it_has_earned() {
+    let shares = Shares { hosts: 5_200, ..SHARES };
+    let targets = [target("a", "here"), target("b", "here")];
+    let mut balance = balance_of(&targets, shares, Instant::now());
+
+    (0..10).for_each(|_| balance.earn());
+
+    assert!(balance.may_retry(&[]));
+    assert!(!balance.may_retry(&[]));
+}
--- a/crates/sapphirerack/tests/platform.rs
+++ b/crates/sapphirerack/tests/platform.rs
@@ -380,6 +380,22 @@
     assert!(setup.host.join());
 }
 
+#[test]
+fn log_names_the_target_that_did_not_answer_by_the_deadline() {
+    let mut setup = setup_with(Stdio::piped(), json!({ "grace": 2, "linger": "1ms" }));
+    let log = setup.host.output();
+    set(&setup.desk, Manner::Hold);
+
+    let answer = setup.host.send("POST", "/book/x", "attempt-9", "").unwrap();
+    setup.host.terminate();
+
+    let lines = std::io::read_to_string(log).unwrap();
+    let failed = lines.lines().find(|l| l.contains("id=attempt-9")).unwrap();
+    let holder = setup.desk.iter().find(|t| !t.requests().is_empty()).unwrap();
+    assert_eq!(answer.status(), 504);
+    assert!(failed.contains(&format!("{}:no_answer", holder.id)), "{failed}");
+}
+
 #[test]
 fn host_serves_while_nobody_reads_its_log() {
     let mut setup = setup_with(Stdio::piped(), json!({ "grace": 6 }));
--- a/crates/sapphirerack/tests/platform_soak.rs
+++ b/crates/sapphirerack/tests/platform_soak.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use platform_support::wait_until;
-use soak_support::{Call, Fleet, Got, History, Kind, Run, check, desk, disturb};
+use soak_support::{Call, Fleet, Got, History, Kind, Run, Shard, check, desk, disturb};
 
 const CALLERS: usize = 12;
 
@@ -66,7 +66,8 @@
 /// A history of one good booking at target i-1 and one good query.
 fn good() -> History {
     let start = Instant::now();
-    let call = |id: &str, kind, seals: &[&str]| Call {
+    let call = |id: &str, kind, seals: &[&str], records: &[u8]| Call {
+        records: records.to_vec(),
         id: id.into(),
         kind,
         host: 0,
@@ -87,8 +88,8 @@
     };
     History {
         calls: vec![
-            call("b1", Kind::Book, &["seal.i-1.b1"]),
-            call("q1", Kind::Query, &["seal.i-2.q1", "seal.i-3.q1"]),
+            call("b1", Kind::Book, &["seal.i-1.b1"], &[9]),
+            call("q1", Kind::Query, &["seal.i-2.q1", "seal.i-3.q1"], &[12, 11, 2, 1]),
         ],
         runs: vec![
             run("b1", "i-1", desk(2)),
@@ -96,7 +97,10 @@
             run("q1", "i-3", "s2".into()),
         ],
         disturbed: Vec::new(),
-        shards: vec!["s1".into(), "s2".into()],
+        shards: vec![
+            Shard { name: "s1".into(), records: vec![1, 11] },
+            Shard { name: "s2".into(), records: vec![2, 12] },
+        ],
     }
 }
 
@@ -122,6 +126,7 @@
     assert_eq!(broken(|h| h.calls[0].got = refusal.clone()), 1, "refused and run");
     assert_eq!(broken(|h| h.calls[0].got = foreign.clone()), 1, "answer to another request");
     assert_eq!(broken(|h| h.calls[1].got = lacking.clone()), 1, "coverage that is not true");
+    assert_eq!(broken(|h| h.calls[1].records = vec![12, 11, 1]), 1, "a record is missing");
     assert_eq!(broken(|h| h.calls[0].got = Got::Cut), 1, "cut after it was passed on");
     assert_eq!(broken(|h| h.calls[0].id = "b9".into()), 2, "not sent, and another's answer");
     assert_eq!(broken(|h| h.calls[0].end += Duration::from_secs(3)), 1, "late");
--- a/crates/sapphirerack/tests/soak_support/check.rs
+++ b/crates/sapphirerack/tests/soak_support/check.rs
@@ -6,6 +6,9 @@
 /// Time beyond its deadline within which every request must have its answer.
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
 
+/// Records in the answer to a query.
+const TOP: usize = 4;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -40,6 +43,8 @@
     pub end: Instant,
     pub deadline: Duration,
     pub got: Got,
+    /// Records in the answer, each a byte that is repeated.
+    pub records: Vec<u8>,
 }
 
 /// A request that a target ran.
@@ -50,6 +55,13 @@
     pub service: String,
 }
 
+/// A shard and the records that each of its targets holds.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    pub name: String,
+    pub records: Vec<u8>,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -57,7 +69,7 @@
     pub runs: Vec<Run>,
     /// Times in which a host was killed or frozen, or started again.
     pub disturbed: Vec<(usize, Instant, Instant)>,
-    pub shards: Vec<String>,
+    pub shards: Vec<Shard>,
 }
 
 /// Rules that the history breaks, each in words.
@@ -96,7 +108,7 @@
     (promised && !ran.is_empty()).then(|| format!("ran, and was answered {status}"))
 }
 
-fn own_answer(call: &Call, services: &HashMap<&str, &str>, shards: &[String]) -> Option<String> {
+fn own_answer(call: &Call, services: &HashMap<&str, &str>, shards: &[Shard]) -> Option<String> {
     let Got::Answer { status: 200, seals, missing } = &call.got else { return None };
     let mut named: Vec<&str> = Vec::new();
     for seal in seals {
@@ -114,8 +126,16 @@
     let distinct: HashSet<&str> = named.iter().copied().collect();
     let wrong = distinct.len() != named.len()
         || named.len() + missing != shards.len()
-        || !named.iter().all(|s| shards.iter().any(|shard| shard == s));
-    wrong.then(|| format!("parts of {named:?}, {missing} missing"))
+        || !named.iter().all(|s| shards.iter().any(|shard| shard.name == **s));
+    if wrong {
+        return Some(format!("parts of {named:?}, {missing} missing"));
+    }
+    let parts = shards.iter().filter(|s| distinct.contains(s.name.as_str()));
+    let mut greatest: Vec<u8> = parts.flat_map(|s| s.records.clone()).collect();
+    greatest.sort_unstable_by(|a, b| b.cmp(a));
+    greatest.truncate(TOP);
+    let other = call.records != greatest;
+    other.then(|| format!("records {:?}, expected {greatest:?}", call.records))
 }
 
 /// A host that is neither killed nor frozen answers each request that it has passed on, in time.
--- a/crates/sapphirerack/tests/soak_support/fleet.rs
+++ b/crates/sapphirerack/tests/soak_support/fleet.rs
@@ -11,7 +11,7 @@
 use sapphirerack_lab::relay::Relay;
 use serde_json::{Value, json};
 
-use super::check::{Call, Got, History, Kind, Run};
+use super::check::{Call, Got, History, Kind, Run, Shard};
 use crate::platform_support::{
     Host, Manner, Message, Store, Target, configuration, free, read_message, request,
 };
@@ -25,6 +25,9 @@
 
 const DEADLINE_MS: u32 = 1_000;
 
+/// Size of a record, in bytes.
+const RECORD: usize = 16;
+
 /// Requests on one connection of a caller.
 const REQUESTS: usize = 12;
 
@@ -67,9 +70,10 @@
         let store = Store::start();
         store.put("op/config", &configuration(1, &SHARDS, &desk(1)));
         let mut replicas = Vec::new();
-        for (at, shard) in SHARDS.iter().enumerate() {
-            let records = [at as u8 + 1, at as u8 + 10];
-            replicas.extend(DATA_CENTRES.map(|dc| replica(&store, shard, dc, &records)));
+        let shards: Vec<Shard> = (1..).zip(SHARDS).map(|(at, name)| shard(name, at)).collect();
+        for shard in &shards {
+            let place = |dc| replica(&store, &shard.name, dc, &shard.records);
+            replicas.extend(DATA_CENTRES.map(place));
         }
         for version in 1..=VERSIONS {
             let places = ["a", "b"];
@@ -78,7 +82,6 @@
         let port = free().port();
         let members: Vec<Member> = (0..HOSTS).map(|at| member(&store, at, port)).collect();
         members.iter().for_each(|m| m.host.lock().unwrap().await_ready());
-        let shards = SHARDS.map(String::from).to_vec();
         let history = Mutex::new(History { shards, ..History::default() });
         Self { store, replicas, members, history, over: AtomicBool::new(false) }
     }
@@ -122,12 +125,16 @@
         let run = member.run.load(Ordering::SeqCst);
         let start = Instant::now();
         let stream = open.or_else(|| TcpStream::connect(member.callers).ok());
-        let (got, open) = match stream {
-            Some(stream) => exchange(stream, kind, &id),
-            None => (Got::Nothing, None),
+        let was_open = stream.is_some();
+        let (answer, open) = stream.map_or((None, None), |s| exchange(s, kind, &id));
+        let got = match &answer {
+            Some(answer) => got(answer),
+            None if was_open => Got::Cut,
+            None => Got::Nothing,
         };
+        let records = answer.map_or(Vec::new(), |a| a.body.chunks(RECORD).map(|r| r[0]).collect());
         let deadline = Duration::from_millis(DEADLINE_MS.into());
-        let call = Call { id, kind, host, run, start, end: Instant::now(), deadline, got };
+        let call = Call { id, kind, host, run, start, end: Instant::now(), deadline, got, records };
         (call, open)
     }
 
@@ -151,6 +158,10 @@
     }
 }
 
+fn shard(name: &str, at: u8) -> Shard {
+    Shard { name: name.into(), records: vec![at, at + 10] }
+}
+
 fn replica(store: &Store, service: &str, data_centre: &str, records: &[u8]) -> Replica {
     let target = Target::start(records, USUAL);
     let relay = Relay::start(target.address);
@@ -181,7 +192,8 @@
     Member { host, store: to_store, inbound, callers, run }
 }
 
-fn exchange(mut stream: TcpStream, kind: Kind, id: &str) -> (Got, Option<TcpStream>) {
+/// Sends a request; the answer if it came whole, and the connection if it stays open.
+fn exchange(mut stream: TcpStream, kind: Kind, id: &str) -> (Option<Message>, Option<TcpStream>) {
     let (method, path) = match kind {
         Kind::Query => ("GET", "/query/"),
         Kind::Read => ("GET", "/read/x"),
@@ -190,12 +202,12 @@
     let request = request(method, path, id, DEADLINE_MS, "");
     stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
     if stream.write_all(request.as_bytes()).is_err() {
-        return (Got::Cut, None);
+        return (None, None);
     }
     let mut reader = BufReader::new(stream);
-    let Some(answer) = read_message(&mut reader) else { return (Got::Cut, None) };
+    let Some(answer) = read_message(&mut reader) else { return (None, None) };
     let open = answer.header("connection") != Some("close");
-    (got(&answer), open.then(|| reader.into_inner()))
+    (Some(answer), open.then(|| reader.into_inner()))
 }
 
 fn got(answer: &Message) -> Got {
--- a/crates/sapphirerack/tests/soak_support/mod.rs
+++ b/crates/sapphirerack/tests/soak_support/mod.rs
@@ -7,6 +7,6 @@
 mod faults;
 mod fleet;
 
-pub use check::{Call, Got, History, Kind, Run, check};
+pub use check::{Call, Got, History, Kind, Run, Shard, check};
 pub use faults::disturb;
 pub use fleet::{Fleet, desk};
