--- a/crates/forward/src/ask.rs
+++ b/crates/forward/src/ask.rs
@@ -105,17 +105,20 @@
     }
 }
 
-/// Sends a request to a service; `None` if no target of it can be chosen.
+/// Sends a request to a service, to `max_targets` of its targets at most; `None` if none can be
+/// chosen.
 pub(crate) async fn send_to_service(
     host: &Rc<Host>,
     call: &Rc<Call>,
     service: &Name,
+    max_targets: u32,
     attempts: &Attempts,
 ) -> Option<Outcome> {
     let mut state = ServiceCall {
         host,
         call,
         service,
+        max_targets,
         attempts,
         tried: Vec::new(),
         in_flight: Vec::new(),
@@ -170,6 +173,8 @@
     host: &'a Rc<Host>,
     call: &'a Rc<Call>,
     service: &'a Name,
+    /// Most targets that may run the request.
+    max_targets: u32,
     attempts: &'a Attempts,
     /// Targets that were chosen, once for each attempt.
     tried: Vec<Name>,
@@ -211,7 +216,7 @@
     /// Whether the route's attempts allow a further target.
     fn may_add_target(&self) -> bool {
         let distinct: Set<&Name> = self.maybe_ran.iter().collect();
-        distinct.len() < self.call.route.attempts as usize
+        distinct.len() < self.max_targets as usize
     }
 
     /// Targets to which the request can't be sent again now.
@@ -239,7 +244,7 @@
             return None;
         }
         self.host
-            .with_balancer(self.service, |b| b.try_hedge(&self.in_flight))
+            .with_balancer(self.service, |b| b.try_hedge(&self.in_flight, self.host.now()))
             .filter(|may| *may)?;
         self.host.metrics.count_extra(&self.call.route.name, "hedge");
         self.start()
@@ -277,7 +282,7 @@
         // An attempt that did not reach a target added no load: its retry is no extra request.
         if !matches!(outcome, Outcome::Unsent(_) | Outcome::Unreached(_)) {
             self.host
-                .with_balancer(self.service, |b| b.try_retry(&self.in_flight))
+                .with_balancer(self.service, |b| b.try_retry(&self.in_flight, now))
                 .filter(|may| *may)?;
             self.host.metrics.count_extra(&self.call.route.name, "retry");
         }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use sapphirerack_catalogue::Name;
 use sapphirerack_policy::direct::{Balancer, Choice, Ending};
-use sapphirerack_routes::Route;
+use sapphirerack_routes::{Route, Target};
 
 use crate::client::{Answer, Connection, SendError};
 use crate::error::Category;
@@ -20,6 +20,9 @@
 /// accepts fewer connections than there are hosts, and the hosts of its own data centre need them.
 const MAX_SUBSTITUTE_IDLE: Duration = Duration::from_millis(1_500);
 
+/// Connections of this host to each target up to which they are scarce.
+const MAX_IDLE_IF_SCARCE: usize = 2;
+
 /// A request of a caller, as it is sent to every target.
 pub(crate) struct Call {
     pub route: Arc<Route>,
@@ -131,9 +134,10 @@
     }
     let request = request(&host, &call, &target.id, left);
     let reused = connection.reused;
-    match connection.send(request).await {
+    match connection.send(request, &host.answers).await {
         Ok(answer) => {
-            let outcome = interpret(&host, &call, answer);
+            note_state(&host, &guard.service, &target, &answer);
+            let outcome = interpret(&host, &call, answer, reused);
             guard.ending = match &outcome {
                 Outcome::Answered(a) if a.head.status.is_server_error() => Ending::Failed,
                 Outcome::Answered(_) => Ending::Answered,
@@ -145,7 +149,7 @@
                 // would precede the next request on the connection.
                 if call.body.is_empty() {
                     let max_idle = host.max_idle(&guard.service);
-                    if guard.choice.substitute {
+                    if guard.choice.substitute && max_idle <= MAX_IDLE_IF_SCARCE {
                         connection.limit_idle(MAX_SUBSTITUTE_IDLE);
                     }
                     host.pool.put(connection, &a.head, max_idle, host.now());
@@ -162,6 +166,31 @@
     }
 }
 
+/// Notes what an answer says about the state of its target, whatever becomes of the answer.
+fn note_state(host: &Host, service: &Name, target: &Target, answer: &Answer) {
+    if (host.dialect.leaving)(&answer.head) {
+        host.record_departure(&target.id, target.born);
+    }
+    let Some(value) = answer.head.headers.get(RETRY_AFTER) else { return };
+    if answer.head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    match retry_after(value) {
+        Some(time) => {
+            let now = host.now();
+            log::info!("event=target_holds_off target={} ms={}", target.id, time.as_millis());
+            host.with_balancer(service, |b| b.hold_off(&target.id, time, now));
+        }
+        None => log::info!("event=retry_after_ignored target={} value={value:?}", target.id),
+    }
+}
+
+/// Time in a `retry-after` header, in seconds with an optional fraction.
+fn retry_after(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn request(host: &Host, call: &Call, target: &Name, left: Duration) -> Request<Full<Bytes>> {
     let names = &host.dialect.headers;
     let mut request = Request::new(Full::new(call.body.clone()));
@@ -177,13 +206,14 @@
     request
 }
 
-/// Outcome of an attempt that got a response.
-fn interpret(host: &Host, call: &Call, answer: Answer) -> Outcome {
+/// Outcome of an attempt that got a response; `reused` tells whether the connection had carried
+/// another request before, whose answer may have been sent a second time.
+fn interpret(host: &Host, call: &Call, answer: Answer, reused: bool) -> Outcome {
     let names = &host.dialect.headers;
     let headers = &answer.head.headers;
     let status = answer.head.status;
     let echoed_id = headers.get(&names.attempt_id);
-    if echoed_id.is_some_and(|id| *id != call.id) {
+    if echoed_id.map_or(reused, |id| *id != call.id) {
         return Outcome::Unknown("answer to another request".into());
     }
     if (host.dialect.refused)(&answer.head) {
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::response;
@@ -15,6 +16,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::answer_memory::{AnswerMemory, Reservation};
 use crate::{Error, Result};
 
 /// Timeout of a connection attempt.
@@ -47,12 +49,14 @@
 }
 
 /// A complete answer.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Answer {
     /// Status and headers.
     pub head: response::Parts,
     /// Complete body.
     pub body: Bytes,
+    /// Memory that the body takes.
+    _memory: Reservation,
 }
 
 impl Connection {
@@ -85,7 +89,11 @@
     /// # Errors
     ///
     /// The request may have run, unless [`SendError::unsent`] says otherwise.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        memory: &AnswerMemory,
+    ) -> SendResult {
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut e) => {
@@ -94,11 +102,12 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER).collect().await;
-        let body = body.map_err(|e| SendError { unsent: false, reason: e.to_string() })?;
+        let mut reserved = memory.reserve();
+        let body = read_body(body, &mut reserved).await;
+        let body = body.map_err(|reason| SendError { unsent: false, reason })?;
         self.idle = idle_time(&head.headers).unwrap_or(DEFAULT_IDLE_TIME);
         self.reused = true;
-        Ok(Answer { head, body: body.to_bytes() })
+        Ok(Answer { head, body, _memory: reserved })
     }
 
     /// Limits the idle time of the connection to `max`.
@@ -112,6 +121,28 @@
     }
 }
 
+/// Reads a body within the limits of its size and of the memory for all answers.
+async fn read_body(
+    mut body: Incoming,
+    memory: &mut Reservation,
+) -> std::result::Result<Bytes, String> {
+    let mut size = 0;
+    let mut pieces: Vec<Bytes> = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| e.to_string())?;
+        let Ok(piece) = frame.into_data() else { continue };
+        size += piece.len();
+        if size > MAX_ANSWER || !memory.grow(piece.len()) {
+            return Err(format!("answer of {size} bytes or more is too large"));
+        }
+        pieces.push(piece);
+    }
+    match pieces.len() {
+        1 => Ok(pieces.remove(0)),
+        _ => Ok(pieces.concat().into()),
+    }
+}
+
 /// Outcome of sending a request.
 pub(crate) type SendResult = std::result::Result<Answer, SendError>;
 
@@ -124,7 +155,7 @@
     pub reason: String,
 }
 
-fn set_options(stream: &TcpStream) {
+pub(crate) fn set_options(stream: &TcpStream) {
     // Errors are ignored: the options only speed up small writes and the detection of dead peers.
     let _ = stream.set_nodelay(true);
     let socket = SockRef::from(stream);
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -19,6 +19,8 @@
     pub store: StoreDialect,
     /// Whether an answer states that the target has not run the request.
     pub refused: fn(&response::Parts) -> bool,
+    /// Whether an answer states that the target is about to exit.
+    pub leaving: fn(&response::Parts) -> bool,
 }
 
 /// Names of the headers that this crate reads or sets.
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -4,13 +4,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sapphirerack_catalogue::{Map, Name};
-use sapphirerack_policy::direct::{Balancer, LatencyEstimator, SharedLimits, SlowReport, Split};
-use sapphirerack_policy::{Clock, Membership};
-use sapphirerack_routes::{Route, Service, Target, View};
+use hyper::header::HeaderValue;
+use sapphirerack_catalogue::{Map, Name, Set};
+use sapphirerack_policy::direct::{
+    Balancer, CONNECTIONS_USED, Gatherers, LatencyEstimator, SharedLimits, SlowReport, Split,
+    designate, limit_share,
+};
+use sapphirerack_policy::{Clock, Host as HostName, Membership};
+use sapphirerack_protocol::Liveness;
+use sapphirerack_routes::{Departure, Departures, Route, Service, Target, View};
 use tokio::sync::Notify;
 
+use crate::answer_memory::AnswerMemory;
 use crate::client::Pool;
+use crate::links::Links;
 use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
 use crate::{Dialect, Settings};
@@ -18,9 +25,6 @@
 /// Initial estimate of a route's latency, as a share of its latency objective.
 const INITIAL_LATENCY: f64 = 0.2;
 
-/// Share of a target's connections that all hosts together use.
-const CONNECTIONS_USED: f64 = 0.85;
-
 /// Least number of hosts by which shared limits are divided, so that a host that has not discovered
 /// the others yet does not use them up.
 const MIN_HOSTS: usize = 3;
@@ -48,11 +52,19 @@
     pub unrouted_log: LogLimit,
     /// Limits log lines on queries with missing parts.
     pub incomplete_log: LogLimit,
+    /// Limits log lines on queries that are passed to another gatherer.
+    pub moved_log: LogLimit,
     pub view: RefCell<View>,
     pub members: RefCell<Membership>,
     pub pool: Pool,
+    /// Links to the hosts that gather queries.
+    pub links: Links,
+    /// Memory for the answers of targets.
+    pub answers: AnswerMemory,
     /// Notified when reports of slow targets should be gossiped without delay.
     pub slow_changed: Notify,
+    /// Notified when departures of targets should be gossiped without delay.
+    pub departed: Notify,
     /// Notified when the shutdown starts.
     pub stopping: Notify,
     /// Notified when requests in flight must be answered because the process is about to exit.
@@ -60,6 +72,10 @@
     phase: Cell<Phase>,
     /// Highest number of hosts that were live at the same time.
     peak_hosts: Cell<usize>,
+    departures: RefCell<Departures>,
+    gatherers: RefCell<Gatherers>,
+    /// Epoch of the membership from which the gatherers were designated.
+    epoch: Cell<u64>,
     services: RefCell<Map<Name, Balancer>>,
     latencies: RefCell<Map<Name, LatencyEstimator>>,
     splits: RefCell<Map<Name, Split>>,
@@ -73,6 +89,7 @@
         metrics: Metrics,
         members: Membership,
     ) -> Self {
+        let (name, home) = (settings.name.clone(), settings.data_centre.clone());
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -81,14 +98,21 @@
             failure_log: LogLimit::default(),
             unrouted_log: LogLimit::default(),
             incomplete_log: LogLimit::default(),
+            moved_log: LogLimit::default(),
             view: RefCell::default(),
             members: RefCell::new(members),
             pool: Pool::default(),
+            links: Links::default(),
+            answers: AnswerMemory::default(),
             slow_changed: Notify::new(),
+            departed: Notify::new(),
             stopping: Notify::new(),
             grace_over: Notify::new(),
             phase: Cell::new(Phase::Starting),
             peak_hosts: Cell::new(MIN_HOSTS),
+            departures: RefCell::default(),
+            gatherers: RefCell::new(Gatherers::new(name, home, fastrand::Rng::new())),
+            epoch: Cell::new(0),
             services: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
@@ -119,16 +143,20 @@
         for target in view.usable() {
             by_service.entry(target.service.clone()).or_default().push(target.clone());
         }
-        let limits = self.shared_limits();
+        let shards = configuration.shards();
+        self.gatherers.borrow_mut().set(self.designated(&view, &shards));
+        self.epoch.set(self.members.borrow().epoch());
         let data_centre = self.settings.borrow().data_centre.clone();
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| configuration.services.contains_key(name));
         for (name, service) in &configuration.services {
+            let share = self.limit_share(shards.contains(name));
+            let limits = self.shared_limits(share);
             let balancer = services
                 .entry(name.clone())
                 .or_insert_with(|| Balancer::new(limits, fastrand::Rng::new(), now));
             balancer.set_shared_limits(limits);
-            balancer.set_max_in_flight(self.max_connections(service));
+            balancer.set_max_in_flight(max_connections(service, share));
             let targets = by_service.remove(name).unwrap_or_default();
             balancer.update(&targets, &data_centre, service.cold_rate, now);
         }
@@ -140,31 +168,103 @@
         }
     }
 
-    /// Records the number of live hosts.
-    pub(crate) fn record_live_hosts(&self, live: usize) {
-        if live > self.peak_hosts.get() {
-            self.peak_hosts.set(live);
-            self.update();
+    /// Records that a process of a target is about to exit: it gets no new requests, and other
+    /// hosts are told.
+    pub(crate) fn record_departure(&self, target: &Name, born: u64) {
+        if !self.view.borrow_mut().registry_mut().mark_leaving(target, born) {
+            return;
         }
+        log::info!("event=target_leaving target={target} born={born}");
+        let departure = Departure { target: target.clone(), born };
+        self.departures.borrow_mut().add(departure, self.now());
+        self.update();
+        self.departed.notify_one();
     }
 
-    fn shared_limits(&self) -> SharedLimits {
-        let bounds = self.settings.borrow().bounds.clone();
-        SharedLimits { hosts: self.peak_hosts.get(), extra: bounds.extra, slack: bounds.slack }
+    /// Departures of targets for other hosts, `max` at most.
+    pub(crate) fn recent_departures(&self, max: usize) -> Vec<Departure> {
+        self.departures.borrow_mut().recent(max, self.now())
+    }
+
+    /// Applies changes of the membership.
+    pub(crate) fn update_members(&self) {
+        let epoch = self.members.borrow().epoch();
+        if epoch == self.epoch.get() {
+            return;
+        }
+        let live = self.members.borrow().live().len();
+        self.peak_hosts.set(self.peak_hosts.get().max(live));
+        self.update();
+    }
+
+    /// Hosts that gather the queries over these shards.
+    fn designated(&self, view: &View, shards: &Set<Name>) -> Vec<HostName> {
+        let services = &view.table().configuration().services;
+        let limits = shards.iter().filter_map(|s| services.get(s)).map(|s| s.connections);
+        let Some(connections) = limits.min() else { return Vec::new() };
+        let targets = view.usable().filter(|t| shards.contains(&t.service));
+        let centres: Set<Name> = targets.map(|t| t.data_centre.clone()).collect();
+        designate(&self.members.borrow().live(), self.peak_hosts.get(), &centres, connections)
     }
 
-    /// This host's share of the connections that each target of a service accepts.
-    fn max_connections(&self, service: &Service) -> usize {
-        let share =
-            f64::from(service.connections) * CONNECTIONS_USED / self.peak_hosts.get() as f64;
-        (share as usize).max(1)
+    /// Share of the limits on the targets of a service that this host may use.
+    fn limit_share(&self, is_shard: bool) -> f64 {
+        let gatherers = self.gatherers.borrow();
+        let count = if is_shard { gatherers.count() } else { 0 };
+        limit_share(gatherers.includes_own(), count, self.peak_hosts.get())
+    }
+
+    fn shared_limits(&self, share: f64) -> SharedLimits {
+        let bounds = self.settings.borrow().bounds.clone();
+        let hosts = (1.0 / share).ceil() as usize;
+        SharedLimits { hosts, extra: bounds.extra, slack: bounds.slack }
     }
 
     /// Most idle connections that this host keeps to each target of a service.
     pub(crate) fn max_idle(&self, service: &Name) -> usize {
-        let view = self.view.borrow();
-        let known = view.table().configuration().services.get(service);
-        known.map_or(1, |s| self.max_connections(s))
+        let known = self.with_balancer(service, |b| b.max_connections());
+        known.unwrap_or(1)
+    }
+
+    /// Whether this host gathers the queries of its callers itself.
+    pub(crate) fn gathers_own_queries(&self) -> bool {
+        self.gatherers.borrow().includes_own()
+    }
+
+    /// Runs `f` on the gatherers.
+    pub(crate) fn with_gatherers<T>(&self, f: impl FnOnce(&mut Gatherers) -> T) -> T {
+        f(&mut self.gatherers.borrow_mut())
+    }
+
+    /// Chooses a gatherer that is not in `tried` for a query.
+    pub(crate) fn choose_gatherer(&self, tried: &[Name]) -> Option<HostName> {
+        let members = self.members.borrow();
+        let is_suspect = |name: &Name| members.liveness(name) != Some(Liveness::Alive);
+        self.gatherers.borrow_mut().choose(tried, is_suspect, self.now())
+    }
+
+    /// Other data centres with gatherers.
+    pub(crate) fn partner_centres(&self) -> Set<Name> {
+        let home = &self.settings.borrow().data_centre;
+        let gatherers = self.gatherers.borrow();
+        gatherers.centres().filter(|c| *c != home).cloned().collect()
+    }
+
+    /// Chooses a gatherer of another data centre for a part of a query.
+    pub(crate) fn choose_partner(&self, data_centre: &str) -> Option<HostName> {
+        let members = self.members.borrow();
+        let is_sound = |name: &Name| members.liveness(name) == Some(Liveness::Alive);
+        self.gatherers.borrow_mut().choose_in(data_centre, is_sound, self.now())
+    }
+
+    /// Logs that a gatherer did not gather a query that was passed to it.
+    pub(crate) fn log_moved(&self, id: &HeaderValue, gatherer: &str, reason: &str) {
+        let Some(suppressed) = self.moved_log.admit(self.now()) else { return };
+        let id = id.to_str().unwrap_or("?");
+        log::info!(
+            "event=query_moved id={id} gatherer={gatherer} reason=\"{reason}\" \
+             suppressed={suppressed}"
+        );
     }
 
     /// Runs `f` on the balancer of a service; `None` if the service is not known.
@@ -230,3 +330,8 @@
         f(self.splits.borrow_mut().entry(route.name.clone()).or_default())
     }
 }
+
+/// This host's share of the connections that each target of a service accepts.
+fn max_connections(service: &Service, share: f64) -> usize {
+    ((f64::from(service.connections) * CONNECTIONS_USED * share) as usize).max(1)
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! ```text
 //! callers -> caller -> request -> query (one ask a shard) -> ask -> attempt -> target
+//!                                    -> delegate -> links ~> gather_server -> query
 //!                             -> ask (one service)
 //! store  -> reader -> view <~> peers <~> other hosts
 //! ```
@@ -20,8 +21,15 @@
 //! - `caller`: connections of callers
 //! - `request`: a request of a caller, from routing to the answer
 //! - `query`: a query over several shards
+//! - `delegate`: passes a query to a gatherer
+//! - `partner`: a gatherer that gathers some of the parts of a query
+//! - `parts`: parts of a query, merged
+//! - `links`: connections to the gatherers
+//! - `gather_server`: gathers queries for other hosts
+//! - `frames`: frames of messages on a connection between hosts
 //! - `ask`: a request to one service, with hedges and retries
 //! - `attempt`: one attempt of a request at one target
+//! - `answer_memory`: memory that the answers of peers may take
 //! - `client`: connections to targets and to the store, and their pool
 //! - `store`: client of the store
 //! - `reader`: keeps the view up to date from the store
@@ -32,16 +40,23 @@
 //! - `log_limit`: rate limit of log lines
 //! - `error`: errors of this crate
 
+mod answer_memory;
 mod ask;
 mod attempt;
 mod caller;
 mod client;
+mod delegate;
 mod dialect;
 mod error;
+mod frames;
+mod gather_server;
 mod host;
+mod links;
 mod log_limit;
 mod log_line;
 mod metrics;
+mod partner;
+mod parts;
 mod peers;
 mod query;
 mod reader;
@@ -55,4 +70,4 @@
 pub use crate::error::{Category, Error, Result};
 pub use crate::log_line::start_log;
 pub use crate::serve::serve;
-pub use crate::settings::{Bounds, Listen, Queries, Settings, Stop, from_text};
+pub use crate::settings::{Bounds, Listen, Machine, Queries, Settings, Stop, from_text};
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -20,6 +20,7 @@
     latency: Histogram<f64>,
     coverage: Histogram<f64>,
     extra: Counter<u64>,
+    delegated: Counter<u64>,
     connections: Counter<u64>,
     target_failures: Counter<u64>,
     refusals: Counter<u64>,
@@ -35,6 +36,7 @@
             latency: meters.histogram("request_latency_seconds", &LATENCY_BOUNDS),
             coverage: meters.histogram("request_coverage", &COVERAGE_BOUNDS),
             extra: meters.counter("extra_requests"),
+            delegated: meters.counter("delegated_queries"),
             connections: meters.counter("target_connections"),
             target_failures: meters.counter("target_failures"),
             refusals: meters.counter("refusals"),
@@ -60,6 +62,11 @@
         self.extra.add(1, &[label("route", route), KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a query that was passed to a gatherer.
+    pub(crate) fn count_delegated(&self, route: &Name) {
+        self.delegated.add(1, &[label("route", route)]);
+    }
+
     /// Counts a new connection to a target.
     pub(crate) fn count_connection(&self) {
         self.connections.add(1, &[]);
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -6,18 +6,19 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sapphirerack_policy::Outgoing;
 use sapphirerack_policy::direct::SlowReport;
 use sapphirerack_protocol::{
     Datagram, FRAME_LIMIT, PeerReply, PeerRequest, Topic, from_body, to_frame,
 };
-use sapphirerack_routes::{Delta, ViewSummary};
+use sapphirerack_routes::{Comparison, Delta, Departure, ViewSummary};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 
+use crate::gather_server;
 use crate::host::Host;
 use crate::{Error, Result};
 
@@ -45,29 +46,42 @@
 /// Most reports in a datagram.
 const MAX_REPORTS: usize = 12;
 
+/// Topic of departures of targets.
+const DEPARTURE_TOPIC: &str = "departures";
+
+/// Most departures in a datagram.
+const MAX_DEPARTURES: usize = 12;
+
+/// Least time between two fetches of a whole view.
+const MIN_WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Least time between two urgent rounds on slow targets.
 const MIN_SLOW_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Most bytes of a topic beyond its name and content.
+const TOPIC_OVERHEAD: usize = 4;
+
 const RECEIVE_BUFFER: usize = 2_048;
 
 /// Exchanges datagrams until the process ends.
 pub(crate) async fn run(host: Rc<Host>, socket: UdpSocket) {
-    let peers = Rc::new(Peers { host, socket, fetching: Cell::new(false) });
+    let peers =
+        Rc::new(Peers { host, socket, fetching: Cell::new(false), last_whole: Cell::new(None) });
     let mut buffer = vec![0; RECEIVE_BUFFER];
     let mut ticks = tokio::time::interval(GOSSIP_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut gossiped = ViewSummary::default();
     let mut last_slow = peers.host.now();
     loop {
-        let mut slow = false;
+        let (mut slow, mut departed) = (false, false);
         tokio::select! {
             () = peers.host.slow_changed.notified() => slow = true,
+            () = peers.host.departed.notified() => departed = true,
             _ = ticks.tick() => {
                 let outgoing = peers.host.members.borrow_mut().tick(peers.host.now());
                 peers.send(outgoing).await;
                 peers.repair();
-                let live = peers.host.members.borrow().live().len();
-                peers.host.record_live_hosts(live);
+                peers.host.update_members();
                 peers.host.pool.evict_expired(peers.host.now());
             }
             received = peers.socket.recv_from(&mut buffer) => match received {
@@ -82,7 +96,7 @@
         if slow {
             last_slow = now;
         }
-        if changed || slow || peers.host.members.borrow_mut().take_urgent() {
+        if changed || slow || departed || peers.host.members.borrow_mut().take_urgent() {
             gossiped = own;
             let outgoing = peers.host.members.borrow_mut().gossip(now, URGENT_FANOUT);
             peers.send(outgoing).await;
@@ -94,6 +108,8 @@
     host: Rc<Host>,
     socket: UdpSocket,
     fetching: Cell<bool>,
+    /// Last fetch of a whole view.
+    last_whole: Cell<Option<Instant>>,
 }
 
 impl Peers {
@@ -102,19 +118,21 @@
             return;
         }
         let now = self.host.now();
-        let slow = self.host.slow_reports(MAX_REPORTS);
-        let slow = (!slow.is_empty()).then(|| postcard::to_stdvec(&slow).unwrap_or_default());
+        let topics = [
+            encode_topic(DEPARTURE_TOPIC, &self.host.recent_departures(MAX_DEPARTURES)),
+            encode_topic(SLOW_TOPIC, &self.host.slow_reports(MAX_REPORTS)),
+        ];
         for Outgoing { to, mut datagram } in outgoing {
             let own = self.host.view.borrow().summary(now);
             datagram.version = own.version;
             if let Ok(bytes) = postcard::to_stdvec(&own) {
                 datagram.topics.push(Topic { name: VIEW_TOPIC.into(), bytes });
             }
-            // Membership updates take precedence: reports are sent again in later rounds.
-            if let Some(bytes) =
-                slow.clone().filter(|b| b.len() + SLOW_TOPIC.len() + 4 < datagram.room())
-            {
-                datagram.topics.push(Topic { name: SLOW_TOPIC.into(), bytes });
+            // Membership updates take precedence: the other topics are sent again in later rounds.
+            for topic in topics.iter().flatten() {
+                if topic.bytes.len() + topic.name.len() + TOPIC_OVERHEAD < datagram.room() {
+                    datagram.topics.push(topic.clone());
+                }
             }
             match datagram.encode() {
                 // Gossip tolerates lost datagrams.
@@ -135,28 +153,44 @@
         let now = self.host.now();
         let outgoing = self.host.members.borrow_mut().receive(source, &datagram, now);
         self.send(outgoing).await;
+        for departure in topic::<Vec<Departure>>(&datagram, DEPARTURE_TOPIC).unwrap_or_default() {
+            self.host.record_departure(&departure.target, departure.born);
+        }
         if let Some(reports) = topic::<Vec<SlowReport>>(&datagram, SLOW_TOPIC)
             && self.host.merge_reports(&reports)
         {
             self.host.slow_changed.notify_one();
         }
         let Some(summary) = topic::<ViewSummary>(&datagram, VIEW_TOPIC) else { return };
-        if self.host.view.borrow().is_behind(&summary, now) {
-            self.fetch_view(datagram.from.address);
-        } else {
-            self.host.view.borrow_mut().refresh(&summary, now);
+        let comparison = self.host.view.borrow().compare(&summary, now);
+        match comparison {
+            Comparison::Current => self.host.view.borrow_mut().refresh(&summary, now),
+            Comparison::Behind => {
+                let own = self.host.view.borrow().summary(now);
+                self.fetch_view(datagram.from.address, PeerRequest::View(own));
+            }
+            Comparison::Diverged => self.fetch_whole(datagram.from.address, now),
+        }
+    }
+
+    /// Fetches the whole view of a peer, unless one was fetched only recently.
+    fn fetch_whole(self: &Rc<Self>, peer: SocketAddr, now: Instant) {
+        let is_recent = |at| now.saturating_duration_since(at) < MIN_WHOLE_INTERVAL;
+        if !self.last_whole.get().is_some_and(is_recent) {
+            log::info!("event=view_diverged peer={peer}");
+            self.last_whole.set(Some(now));
+            self.fetch_view(peer, PeerRequest::WholeView);
         }
     }
 
     /// Fetches the changes that this host's view lacks, from one peer at a time.
-    fn fetch_view(self: &Rc<Self>, peer: SocketAddr) {
+    fn fetch_view(self: &Rc<Self>, peer: SocketAddr, request: PeerRequest) {
         if self.fetching.replace(true) {
             return;
         }
         let peers = self.clone();
         spawn_local(async move {
-            let own = peers.host.view.borrow().summary(peers.host.now());
-            match call(peer, &PeerRequest::View(own)).await {
+            match call(peer, &request).await {
                 Ok(PeerReply::View(delta)) => merge_delta(&peers.host, peer, *delta),
                 Ok(PeerReply::Peers(_)) => log::warn!("event=view_refused peer={peer}"),
                 Err(e) => log::debug!("event=view_not_learnt error=\"{e}\""),
@@ -180,6 +214,16 @@
     }
 }
 
+/// A topic with these entries; `None` if there are none.
+fn encode_topic<T: serde::Serialize>(name: &str, entries: &[T]) -> Option<Topic> {
+    if entries.is_empty() {
+        return None;
+    }
+    let bytes = postcard::to_stdvec(entries);
+    let bytes = bytes.inspect_err(|e| log::warn!("event=topic_unsent topic={name} error=\"{e}\""));
+    Some(Topic { name: name.into(), bytes: bytes.ok()? })
+}
+
 fn topic<T: serde::de::DeserializeOwned>(datagram: &Datagram, name: &str) -> Option<T> {
     let topic = datagram.topics.iter().find(|t| &*t.name == name)?;
     postcard::from_bytes(&topic.bytes).ok()
@@ -263,8 +307,7 @@
             Ok((stream, peer)) => {
                 let host = host.clone();
                 spawn_local(async move {
-                    let answered = tokio::time::timeout(CALL_TIMEOUT, reply(&host, stream, peer));
-                    if let Ok(Err(e)) = answered.await {
+                    if let Err(e) = serve(&host, stream, peer).await {
                         log::debug!("event=question_not_answered error=\"{e}\"");
                     }
                 });
@@ -274,13 +317,29 @@
     }
 }
 
-async fn reply(host: &Host, mut stream: TcpStream, peer: SocketAddr) -> Result<()> {
-    let request: PeerRequest = read(&mut stream, peer).await?;
+async fn serve(host: &Rc<Host>, mut stream: TcpStream, peer: SocketAddr) -> Result<()> {
+    let request = tokio::time::timeout(CALL_TIMEOUT, read(&mut stream, peer)).await;
+    let request = request.map_err(|_| Error::timeout("read frame", peer))??;
+    if let PeerRequest::Link = request {
+        return gather_server::serve(host, stream, peer).await;
+    }
+    let answered = tokio::time::timeout(CALL_TIMEOUT, reply(host, stream, request, peer)).await;
+    answered.map_err(|_| Error::timeout("write frame", peer))?
+}
+
+async fn reply(
+    host: &Host,
+    mut stream: TcpStream,
+    request: PeerRequest,
+    peer: SocketAddr,
+) -> Result<()> {
     let now = host.now();
     let answer = match request {
+        PeerRequest::Link => return Ok(()),
         PeerRequest::View(other) => {
             PeerReply::View(Box::new(host.view.borrow().delta(&other, now)))
         }
+        PeerRequest::WholeView => PeerReply::View(Box::new(host.view.borrow().whole(now))),
         PeerRequest::Peers(data_centre) => {
             PeerReply::Peers(host.members.borrow().view(&data_centre, now))
         }
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -1,6 +1,5 @@
 //! A query over several shards, with their parts merged into one answer.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,28 +8,21 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::direct::{Cutoff, Decision, Selection, draw, retry_after, select};
+use sapphirerack_policy::direct::{
+    Balancer, Cutoff, Decision, Division, Selection, divide, draw, retry_after, select,
+};
+use sapphirerack_protocol::{FoundPart, GatherReply};
 use sapphirerack_routes::Gather;
 
 use crate::ask::{Attempts, send_to_service};
 use crate::attempt::{Call, Outcome};
 use crate::host::Host;
-
-/// Length of a record in bytes.
-const RECORD_LEN: usize = 16;
+use crate::partner::{Partner, PartnerEvent};
+use crate::parts::Parts;
 
 /// Time from the decision to answer until the answer is sent.
 const ANSWER_MARGIN: Duration = Duration::from_millis(12);
 
-type Record = [u8; RECORD_LEN];
-
-/// The part of one shard.
-struct Part {
-    shard: usize,
-    signature: HeaderValue,
-    body: Bytes,
-}
-
 /// Outcome of a query.
 pub(crate) enum Gathered {
     /// An answer: signatures and number of its parts, and the best records.
@@ -38,89 +30,256 @@
     /// Too many shards are overloaded or without targets; no request was sent. Enough shards are
     /// expected to admit a query after `retry_after`, if that is known.
     Refused { retry_after: Option<Duration> },
-    /// Fewer parts than an answer needs.
-    Incomplete { parts: usize },
+    /// Fewer parts than an answer needs; `started` tells whether a request was sent to a target.
+    Incomplete { parts: usize, started: bool },
+}
+
+/// A query of a caller.
+#[derive(Clone, Copy)]
+pub(crate) struct Query<'a> {
+    pub call: &'a Rc<Call>,
+    /// Shards of the call's route.
+    pub shards: &'a Gather,
+    /// Latest time for an answer that meets the caller's latency objective.
+    pub aim: Instant,
+    /// Number of priority levels of the route above the lowest-priority one.
+    pub levels: u32,
+}
+
+impl Query<'_> {
+    /// Service of a shard.
+    pub(crate) fn service(&self, shard: usize) -> &Name {
+        &self.shards.shards[shard]
+    }
 }
 
 /// Gathers the shards' parts until the caller's latency objective or, while they are too few,
 /// until its deadline.
-pub(crate) async fn gather(
-    host: &Rc<Host>,
-    call: &Rc<Call>,
-    gather: &Gather,
-    new_connection: bool,
-    attempts: &Attempts,
-) -> Gathered {
-    let Selection { asked, mut spare } = match selection(host, call, gather) {
+pub(crate) async fn gather(host: &Rc<Host>, query: Query<'_>, attempts: &Attempts) -> Gathered {
+    let Query { call, shards, aim, levels } = query;
+    let Selection { asked, mut spare } = match selection(host, shards, levels) {
         Ok(selection) => selection,
         Err(retry_after) => return Gathered::Refused { retry_after },
     };
-    let aim = latest_answer(host, call, new_connection);
-    let total = gather.shards.len();
-    let cutoff = Cutoff { total, min_parts: gather.min_shards(), aim, deadline: call.deadline };
-    let query_shard = |shard: usize| async move {
-        (shard, send_to_service(host, call, &gather.shards[shard], attempts).await)
+    let total = shards.shards.len();
+    let cutoff = Cutoff { total, min_parts: shards.min_shards(), aim, deadline: call.deadline };
+    let query_shard = |shard: usize, targets: u32| async move {
+        (shard, send_to_service(host, call, query.service(shard), targets, attempts).await)
     };
+    let Division { own, others } = division(host, &query, &asked);
+    let mut progress = Progress::new(shards.top, total);
+    let mut partners = FuturesUnordered::new();
+    let mut unassigned = own;
+    for (centre, shards) in others {
+        match Partner::ask(host, &query, &centre, shards) {
+            Ok(partner) => {
+                progress.delegated.extend(&partner.shards);
+                partners.push(partner.next());
+            }
+            Err(shards) => unassigned.extend(shards),
+        }
+    }
+    let targets = call.route.attempts;
     let mut in_flight: FuturesUnordered<_> =
-        asked.iter().map(|shard| query_shard(*shard)).collect();
-    let mut progress = Progress { parts: Vec::with_capacity(total), outstanding: asked };
+        unassigned.iter().map(|shard| query_shard(*shard, targets)).collect();
+    progress.own = unassigned;
     loop {
-        let reachable = progress.parts.len() + in_flight.len();
-        if reachable < cutoff.min_parts
+        if progress.reachable() < cutoff.min_parts
             && let Some(shard) = spare.pop()
         {
-            in_flight.push(query_shard(shard));
-            progress.outstanding.push(shard);
+            in_flight.push(query_shard(shard, targets));
+            progress.own.push(shard);
             continue;
         }
         let Decision::Wait(until) =
-            cutoff.decide(progress.parts.len(), in_flight.len(), host.now())
+            cutoff.decide(progress.parts.len(), progress.outstanding(), host.now())
         else {
             break;
         };
-        let next = tokio::time::timeout_at(until.into(), in_flight.next()).await;
-        if let Ok(Some((shard, outcome))) = next {
-            record_load(host, &gather.shards[shard], outcome.as_ref(), aim);
-            progress.finish(shard, outcome.and_then(|o| into_part(host, shard, o)));
+        tokio::select! {
+            Some((shard, outcome)) = in_flight.next() => {
+                record_load(host, query.service(shard), outcome.as_ref(), aim);
+                progress.finish(shard, outcome.and_then(|o| into_part(host, shard, o)));
+            }
+            Some((partner, event)) = partners.next() => {
+                match progress.merge(host, &query, partner, event) {
+                    Merged::More(partner) => partners.push(partner.next()),
+                    Merged::Done => {}
+                    Merged::Failed { shards, targets } => {
+                        in_flight.extend(shards.iter().map(|s| query_shard(*s, targets)));
+                    }
+                }
+            }
+            () = tokio::time::sleep_until(until.into()) => {}
         }
     }
     let now = host.now();
     if now >= aim {
-        let late = progress.outstanding.iter().map(|shard| &gather.shards[*shard]);
+        let late = progress.own.iter().map(|shard| query.service(*shard));
         late.for_each(|service| record_admission(host, service, false, now));
     }
-    log_missing(host, call, gather, &progress, attempts);
+    log_missing(host, &query, &progress, attempts);
     if progress.parts.len() < cutoff.min_parts {
-        return Gathered::Incomplete { parts: progress.parts.len() };
+        let started = attempts.is_started() || progress.was_delegated;
+        return Gathered::Incomplete { parts: progress.parts.len(), started };
     }
-    merge(&progress.parts, gather.top)
+    progress.parts.into_answer()
+}
+
+/// Gathers parts for another host, which has those of the other shards.
+///
+/// The parts that are in at the latency objective, or when no more can come, are passed to `emit`
+/// together, and each later one alone; the flag tells whether no more follow.
+pub(crate) async fn gather_parts(
+    host: &Rc<Host>,
+    query: Query<'_>,
+    attempts: &Attempts,
+    emit: impl Fn(&mut Parts, bool),
+) {
+    let Query { call, shards, aim, .. } = query;
+    let mut outstanding: Vec<usize> = (0..shards.shards.len()).collect();
+    let query_shard = |shard: usize| async move {
+        let targets = call.route.attempts;
+        (shard, send_to_service(host, call, query.service(shard), targets, attempts).await)
+    };
+    let mut in_flight: FuturesUnordered<_> =
+        outstanding.iter().map(|shard| query_shard(*shard)).collect();
+    let mut parts = Parts::new(shards.top);
+    let mut is_late = false;
+    while !in_flight.is_empty() {
+        let until = if is_late { call.deadline } else { aim };
+        match tokio::time::timeout_at(until.into(), in_flight.next()).await {
+            Ok(Some((shard, outcome))) => {
+                outstanding.retain(|s| *s != shard);
+                record_load(host, query.service(shard), outcome.as_ref(), aim);
+                if let Some((found, body)) = outcome.and_then(|o| into_part(host, shard, o)) {
+                    parts.add(vec![found], &body);
+                }
+                if is_late {
+                    emit(&mut parts, in_flight.is_empty());
+                }
+            }
+            Ok(None) => break,
+            Err(_) if is_late => break,
+            Err(_) => {
+                is_late = true;
+                let now = host.now();
+                let late = outstanding.iter().map(|shard| query.service(*shard));
+                late.for_each(|service| record_admission(host, service, false, now));
+                emit(&mut parts, false);
+            }
+        }
+    }
+    emit(&mut parts, true);
 }
 
 /// Progress of a query.
 struct Progress {
-    parts: Vec<Part>,
-    /// Shards whose requests are in flight.
-    outstanding: Vec<usize>,
+    parts: Parts,
+    /// Number of shards.
+    total: usize,
+    /// Shards whose requests this host has in flight.
+    own: Vec<usize>,
+    /// Shards whose parts other hosts gather.
+    delegated: Vec<usize>,
+    /// Whether another host may have sent a request to a target.
+    was_delegated: bool,
+}
+
+/// What follows an event of a partner.
+enum Merged {
+    /// The partner has more parts.
+    More(Partner),
+    /// The partner has no more parts.
+    Done,
+    /// The partner failed; this host sends the requests for its shards, to so many targets each.
+    Failed { shards: Vec<usize>, targets: u32 },
 }
 
 impl Progress {
+    fn new(top: usize, total: usize) -> Self {
+        let parts = Parts::new(top);
+        Self { parts, total, own: Vec::new(), delegated: Vec::new(), was_delegated: false }
+    }
+
+    /// Number of shards without an outcome.
+    fn outstanding(&self) -> usize {
+        self.own.len() + self.delegated.len()
+    }
+
+    /// Number of parts that are in or may still come.
+    fn reachable(&self) -> usize {
+        self.parts.len() + self.outstanding()
+    }
+
     /// Records the end of a shard's request.
-    fn finish(&mut self, shard: usize, part: Option<Part>) {
-        self.outstanding.retain(|s| *s != shard);
-        self.parts.extend(part);
+    fn finish(&mut self, shard: usize, part: Option<(FoundPart, Bytes)>) {
+        self.own.retain(|s| *s != shard);
+        if let Some((found, body)) = part {
+            self.parts.add(vec![found], &body);
+        }
+    }
+
+    /// Records an event of a partner.
+    fn merge(
+        &mut self,
+        host: &Host,
+        query: &Query<'_>,
+        mut partner: Partner,
+        event: PartnerEvent,
+    ) -> Merged {
+        let PartnerEvent::Reply(GatherReply::Parts { parts, body, shares, last }) = event else {
+            let shards = std::mem::take(&mut partner.shards);
+            let attempts = query.call.route.attempts;
+            let may_have_started = partner.fail(query, &event);
+            self.was_delegated |= may_have_started;
+            self.delegated.retain(|s| !shards.contains(s));
+            self.own.extend(&shards);
+            let targets = if may_have_started { (attempts - 1).max(1) } else { attempts };
+            return Merged::Failed { shards, targets };
+        };
+        self.was_delegated = true;
+        let now = host.now();
+        for (shard, share) in shares {
+            if let Some(shard) = partner.asked.get(shard as usize) {
+                let adopt = |b: &mut Balancer| b.admission().adopt(share, now);
+                host.with_balancer(query.service(*shard), adopt);
+            }
+        }
+        let found = partner.take(parts);
+        self.delegated.retain(|s| !found.iter().any(|f| f.shard as usize == *s));
+        self.parts.add(found, &body);
+        if !last {
+            return Merged::More(partner);
+        }
+        self.delegated.retain(|s| !partner.shards.contains(s));
+        Merged::Done
     }
 
-    /// First of `total` shards without a part.
-    fn first_missing(&self, total: usize) -> Option<usize> {
-        (0..total).find(|shard| self.parts.iter().all(|p| p.shard != *shard))
+    /// First shard without a part.
+    fn first_missing(&self) -> Option<usize> {
+        (0..self.total).find(|shard| !self.parts.contains(*shard))
     }
 }
 
+/// Divides the shards of a query among data centres, if there are gatherers in others.
+fn division(host: &Host, query: &Query<'_>, asked: &[usize]) -> Division {
+    let partners = host.partner_centres();
+    if partners.is_empty() {
+        return Division { own: asked.to_vec(), others: Vec::new() };
+    }
+    let now = host.now();
+    let centres = |shard: &usize| host.with_balancer(query.service(*shard), |b| b.centres(now));
+    let centres: Vec<Vec<Name>> = asked.iter().map(|s| centres(s).unwrap_or_default()).collect();
+    let home = host.settings.borrow().data_centre.clone();
+    divide(asked, &centres, &home, |name| partners.contains(name))
+}
+
 /// Latest time for an answer that meets the caller's latency objective.
 ///
 /// The caller measures from before it opens its connection until the answer arrives: a round trip
 /// for the request, and another one if the connection is new.
-fn latest_answer(host: &Host, call: &Call, new_connection: bool) -> Instant {
+pub(crate) fn latest_answer(host: &Host, call: &Call, new_connection: bool) -> Instant {
     let distance = host.settings.borrow().queries.distance;
     let trips = if new_connection { 4 } else { 2 };
     call.start + call.route.aim.saturating_sub(distance * trips + ANSWER_MARGIN)
@@ -131,14 +290,15 @@
 /// # Errors
 ///
 /// Too few shards admit it; returns the time after which enough are expected to, if that is known.
-fn selection(host: &Host, call: &Call, gather: &Gather) -> Result<Selection, Option<Duration>> {
+fn selection(host: &Host, gather: &Gather, levels: u32) -> Result<Selection, Option<Duration>> {
     let now = host.now();
-    let admitted =
-        |service| host.with_balancer(service, |b| b.admitted_share(now)).unwrap_or_default();
-    let shares: Vec<f64> = gather.shards.iter().map(admitted).collect();
-    let levels = host.view.borrow().table().priority_levels(&call.route);
+    let load = |service| {
+        let load = |b: &mut Balancer| (b.admitted_share(now), b.held_for(now));
+        host.with_balancer(service, load).unwrap_or_default()
+    };
+    let (shares, held): (Vec<f64>, Vec<Option<Duration>>) = gather.shards.iter().map(load).unzip();
     let (draw, min_parts) = (draw(fastrand::f64(), levels), gather.min_shards());
-    select(&shares, draw, min_parts).ok_or_else(|| retry_after(&shares, draw, min_parts))
+    select(&shares, draw, min_parts).ok_or_else(|| retry_after(&shares, &held, draw, min_parts))
 }
 
 /// Updates the admission control of a shard from the outcome of its request.
@@ -158,55 +318,30 @@
     host.with_balancer(service, |b| b.admission().record(in_time, now));
 }
 
-fn log_missing(
-    host: &Host,
-    call: &Call,
-    gather: &Gather,
-    progress: &Progress,
-    attempts: &Attempts,
-) {
-    let total = gather.shards.len();
-    let Some(first) = progress.first_missing(total).map(|s| &gather.shards[s]) else { return };
+fn log_missing(host: &Host, query: &Query<'_>, progress: &Progress, attempts: &Attempts) {
+    let Some(first) = progress.first_missing() else { return };
     let Some(suppressed) = host.incomplete_log.admit(host.now()) else { return };
+    let (call, first) = (query.call, query.service(first));
     let id = call.id.to_str().unwrap_or("?");
     log::info!(
         "event=parts_missing id={id} route={} missing={}/{} first={first} replicas=\"{}\" \
          targets=\"{}\" left_ms={} suppressed={suppressed}",
         call.route.name,
-        total - progress.parts.len(),
-        total,
+        progress.total - progress.parts.len(),
+        progress.total,
         host.describe_replicas(first),
         attempts.describe(),
         call.deadline.saturating_duration_since(host.now()).as_millis(),
     );
 }
 
-fn into_part(host: &Host, shard: usize, outcome: Outcome) -> Option<Part> {
+/// The part that a successful answer holds.
+fn into_part(host: &Host, shard: usize, outcome: Outcome) -> Option<(FoundPart, Bytes)> {
     if !outcome.is_success() {
         return None;
     }
     let Outcome::Answered(answer) = outcome else { return None };
-    let signature = answer.head.headers.get(&host.dialect.headers.signature)?.clone();
-    Some(Part { shard, signature, body: answer.body })
-}
-
-/// Merges parts into an answer: the `top` greatest of their records, without parts whose signature
-/// occurs a second time.
-fn merge(parts: &[Part], top: usize) -> Gathered {
-    let mut seen = HashSet::new();
-    let mut records: Vec<Record> = Vec::new();
-    let mut signatures: Vec<&[u8]> = Vec::with_capacity(parts.len());
-    for part in parts.iter().filter(|p| seen.insert(p.signature.as_bytes())) {
-        signatures.push(part.signature.as_bytes());
-        records.extend(part.body.as_chunks::<RECORD_LEN>().0);
-    }
-    records.sort_unstable_by(|a, b| b.cmp(a));
-    records.truncate(top);
-    let count = signatures.len();
-    match HeaderValue::from_bytes(&signatures.join(&b", "[..])) {
-        Ok(signatures) => {
-            Gathered::Answer { signatures, parts: count, body: records.concat().into() }
-        }
-        Err(_) => Gathered::Incomplete { parts: 0 },
-    }
+    let signature = answer.head.headers.get(&host.dialect.headers.signature)?;
+    let signature = signature.as_bytes().to_vec();
+    Some((FoundPart { shard: shard as u32, signature }, answer.body))
 }
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -231,7 +231,7 @@
             Item::Target(id, _) => {
                 if gone && self.removals.hold(now) {
                     log::info!("event=target_missing target={id} revision={revision}");
-                    view.mark_uncertain(revision - 1);
+                    view.mark_uncertain(revision.saturating_sub(1));
                     return false;
                 }
                 let changed = view.registry_mut().remove(&id, revision);
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -8,13 +8,15 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
+use sapphirerack_catalogue::Name;
 use sapphirerack_routes::{Action, Gather, Route};
 
 use crate::ask::{Attempts, send_to_service};
 use crate::attempt::{Call, Outcome};
 use crate::client::empty;
+use crate::delegate::gather_anywhere;
 use crate::host::{Host, Phase};
-use crate::query::{Gathered, gather};
+use crate::query::{Gathered, Query, latest_answer};
 
 type Reply = Response<Full<Bytes>>;
 
@@ -144,12 +146,15 @@
             let service = host.with_split(&call.route, |s| s.next(services).cloned());
             let sending = async {
                 match &service {
-                    Some(service) => send_to_service(host, call, service, &attempts).await,
+                    Some(service) => {
+                        let max_targets = call.route.attempts;
+                        send_to_service(host, call, service, max_targets, &attempts).await
+                    }
                     None => None,
                 }
             };
             match tokio::time::timeout_at(call.deadline.into(), sending).await {
-                Ok(outcome) => forward_reply(host, call, outcome, &attempts),
+                Ok(outcome) => forward_reply(host, call, service.as_ref(), outcome, &attempts),
                 Err(_) => fail(host, call, 504, "deadline", &attempts),
             }
         }
@@ -166,7 +171,9 @@
     new_connection: bool,
     attempts: &Attempts,
 ) -> Reply {
-    match gather(host, call, shards, new_connection, attempts).await {
+    let aim = latest_answer(host, call, new_connection);
+    let levels = host.view.borrow().table().priority_levels(&call.route);
+    match gather_anywhere(host, Query { call, shards, aim, levels }, attempts).await {
         Gathered::Answer { signatures, parts, body } => {
             let names = &host.dialect.headers;
             let mut reply = Response::new(Full::new(body));
@@ -181,10 +188,10 @@
         Gathered::Refused { retry_after } => {
             refuse(host, call, "too few shards admit it", retry_after, attempts)
         }
-        Gathered::Incomplete { .. } if !attempts.is_started() => {
+        Gathered::Incomplete { started: false, .. } => {
             refuse(host, call, "no target has room", None, attempts)
         }
-        Gathered::Incomplete { parts } => {
+        Gathered::Incomplete { parts, .. } => {
             let reason = format!("parts={parts}/{}", shards.shards.len());
             let status = if host.now() >= call.deadline { 504 } else { 502 };
             fail(host, call, status, &reason, attempts)
@@ -195,6 +202,7 @@
 fn forward_reply(
     host: &Rc<Host>,
     call: &Call,
+    service: Option<&Name>,
     outcome: Option<Outcome>,
     attempts: &Attempts,
 ) -> Reply {
@@ -206,7 +214,11 @@
             reply
         }
         Some(Outcome::Unknown(reason)) => fail(host, call, 502, &reason, attempts),
-        Some(_) | None => refuse(host, call, "no target took it", None, attempts),
+        Some(_) | None => {
+            let now = host.now();
+            let held_for = |service| host.with_balancer(service, |b| b.held_for(now)).flatten();
+            refuse(host, call, "no target took it", service.and_then(held_for), attempts)
+        }
     }
 }
 
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -81,6 +81,7 @@
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
         address: settings.listen.advertised(),
+        capacity: settings.machine.capacity(),
     };
     let timing = Timing {
         interval: peers::GOSSIP_INTERVAL,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -32,6 +32,9 @@
     /// Queries over several shards.
     #[serde(default)]
     pub queries: Queries,
+    /// Machine that the host runs on.
+    #[serde(default)]
+    pub machine: Machine,
     /// Log level: off, error, warn, info, debug or trace.
     #[serde(default = "default_log")]
     pub log: Name,
@@ -102,6 +105,31 @@
     }
 }
 
+/// Machine that a host runs on. Hosts on larger machines gather queries for the others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Machine {
+    /// Share of the processor that the host may use; 0 if not stated.
+    pub share: f64,
+    /// Speed of the processor, as a multiple of one core.
+    pub cores: f64,
+    /// Bandwidth of the network link, in Mbit/s; 0 if not stated.
+    pub link: f64,
+}
+
+impl Machine {
+    /// Capacity for gathering, in thousandths of a core: that of the processor or of the link,
+    /// whichever is less.
+    pub fn capacity(&self) -> u32 {
+        let processor = self.share * self.cores.max(1.0);
+        let link = if self.link > 0.0 { self.link / LINK_PER_CORE } else { processor };
+        (processor.min(link) * 1e3) as u32
+    }
+}
+
+/// Bandwidth that a core fills with the parts that it gathers, in Mbit/s.
+const LINK_PER_CORE: f64 = 100.0;
+
 /// Queries over several shards.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -146,6 +174,12 @@
     if !slack.is_finite() || slack < 0.0 {
         return Err(Error::rule(format!("bounds.slack: {slack}, expected 0 or more")));
     }
+    let Machine { share, cores, link } = settings.machine;
+    for (field, value) in [("share", share), ("cores", cores), ("link", link)] {
+        if !value.is_finite() || value < 0.0 {
+            return Err(Error::rule(format!("machine.{field}: {value}, expected 0 or more")));
+        }
+    }
     if settings.stop.grace < 2 {
         return Err(Error::rule("stop.grace: expected 2 seconds or more".into()));
     }
--- a/crates/forward/src/store.rs
+++ b/crates/forward/src/store.rs
@@ -8,6 +8,7 @@
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
 
+use crate::answer_memory::AnswerMemory;
 use crate::client::Connection;
 use crate::{Error, Events, Page, Result, StoreDialect};
 
@@ -19,11 +20,12 @@
     address: SocketAddr,
     dialect: StoreDialect,
     connection: Option<Connection>,
+    answers: AnswerMemory,
 }
 
 impl Store {
     pub(crate) fn new(address: SocketAddr, dialect: StoreDialect) -> Self {
-        Self { address, dialect, connection: None }
+        Self { address, dialect, connection: None, answers: AnswerMemory::default() }
     }
 
     /// One page of the items of a prefix.
@@ -69,7 +71,7 @@
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
-        let answer = connection.send(request).await;
+        let answer = connection.send(request, &self.answers).await;
         let answer = answer.map_err(|e| Error::malformed(step, self.address, e.reason))?;
         match answer.head.status.as_u16() {
             200 => {
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -90,6 +90,7 @@
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
         address: settings.listen.hosts,
+        capacity: 0,
     };
     let peers = Peers::new(own, clock.clone(), timing(&settings.gossip));
     let store = Store::new(settings.store.address, settings.store.timeout);
--- a/crates/lab/src/fake_peers.rs
+++ b/crates/lab/src/fake_peers.rs
@@ -70,6 +70,7 @@
         incarnation: 1,
         liveness: Liveness::Alive,
         age: 0,
+        capacity: 0,
     }
 }
 
--- a/crates/lab/tests/slopes.rs
+++ b/crates/lab/tests/slopes.rs
@@ -47,6 +47,7 @@
         incarnation: 1,
         liveness: Liveness::Alive,
         age: 0,
+        capacity: 0,
     };
     let ping = Datagram {
         from,
--- a/crates/policy/src/direct/admission.rs
+++ b/crates/policy/src/direct/admission.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Adopts the share that another host admits, which sends the queries for this one.
+    pub fn adopt(&mut self, share: f64, now: Instant) {
+        self.share = share.clamp(MIN_SHARE, 1.0);
+        self.updated = now;
+    }
+
     /// Admitted share of queries, 0 to 1.
     pub fn share(&self, now: Instant) -> f64 {
         (self.share + INCREASE * self.idle(now).as_secs_f64()).min(1.0)
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -69,6 +69,7 @@
     limits: SharedLimits,
     /// Last ticket number.
     tickets: u64,
+    connections: usize,
     request_limit: usize,
     admission: Admission,
     rng: fastrand::Rng,
@@ -87,6 +88,7 @@
             budget,
             limits,
             tickets: 0,
+            connections: 1,
             request_limit: MIN_IN_FLIGHT,
             admission: Admission::new(now),
             rng,
@@ -117,15 +119,23 @@
 
     /// Admitted share of queries; 0 if no responsive target has capacity.
     pub fn admitted_share(&self, now: Instant) -> f64 {
-        let is_usable = |r: &Replica| r.in_flight() < self.request_limit && !r.is_unresponsive(now);
+        let is_usable =
+            |r: &Replica| r.has_room(self.request_limit, now) && !r.is_unresponsive(now);
         if self.replicas.iter().any(is_usable) { self.admission.share(now) } else { 0.0 }
     }
 
-    /// Sets the most requests that this host may have in flight at one target.
+    /// Sets the number of connections to each target that this host may use, and with it the most
+    /// requests that it may have in flight at one target.
     pub fn set_max_in_flight(&mut self, connections: usize) {
+        self.connections = connections;
         self.request_limit = connections.max(MIN_IN_FLIGHT);
     }
 
+    /// Number of connections to each target that this host may use.
+    pub fn max_connections(&self) -> usize {
+        self.connections
+    }
+
     /// Admission control of the service.
     pub fn admission(&mut self) -> &mut Admission {
         &mut self.admission
@@ -171,7 +181,7 @@
     ) -> Option<Choice> {
         let mut order: Vec<(f64, usize)> = Vec::with_capacity(self.replicas.len());
         for (at, replica) in self.replicas.iter().enumerate() {
-            if !tried.contains(&replica.target().id) && replica.in_flight() < self.request_limit {
+            if !tried.contains(&replica.target().id) && replica.has_room(self.request_limit, now) {
                 let jitter = self.rng.f64() * COST_JITTER;
                 order.push((replica.cost(now) + jitter, at));
             }
@@ -208,25 +218,47 @@
 
     /// Spends budget on a hedge of a request that is slow at the targets `open`; false without
     /// budget or without a target outside `open` that has capacity.
-    pub fn try_hedge(&mut self, open: &[Name]) -> bool {
-        self.has_other(open) && self.budget.hedge()
+    pub fn try_hedge(&mut self, open: &[Name], now: Instant) -> bool {
+        self.has_other(open, now) && self.budget.hedge()
     }
 
-    fn has_other(&self, except: &[Name]) -> bool {
-        self.replicas
-            .iter()
-            .any(|r| r.in_flight() < self.request_limit && !except.contains(&r.target().id))
+    fn has_other(&self, except: &[Name], now: Instant) -> bool {
+        let mut others = self.replicas.iter().filter(|r| !except.contains(&r.target().id));
+        others.any(|r| r.has_room(self.request_limit, now))
     }
 
     /// Spends budget on a retry of a failed request; false without budget or without a target
     /// outside `open` that has capacity.
-    pub fn try_retry(&mut self, open: &[Name]) -> bool {
-        self.has_other(open) && self.budget.retry()
+    pub fn try_retry(&mut self, open: &[Name], now: Instant) -> bool {
+        self.has_other(open, now) && self.budget.retry()
     }
 
-    /// Whether a responsive target is not in `tried`.
+    /// Data centres with a responsive target that has room.
+    pub fn centres(&self, now: Instant) -> Vec<Name> {
+        let is_usable =
+            |r: &&Replica| r.has_room(self.request_limit, now) && !r.is_unresponsive(now);
+        let usable = self.replicas.iter().filter(is_usable);
+        usable.map(|r| r.target().data_centre.clone()).collect()
+    }
+
+    /// Whether a responsive target that does not hold this host off is not in `tried`.
     pub fn has_untried(&self, tried: &[Name], now: Instant) -> bool {
-        let is_untried = |r: &Replica| !tried.contains(&r.target().id) && !r.is_unresponsive(now);
-        self.replicas.iter().any(is_untried)
+        let is_open = |r: &Replica| !r.is_unresponsive(now) && r.held_for(now).is_zero();
+        self.replicas.iter().any(|r| !tried.contains(&r.target().id) && is_open(r))
+    }
+
+    /// Records that a target wants no requests from this host for `time`.
+    pub fn hold_off(&mut self, id: &str, time: Duration, now: Instant) {
+        let replica = self.replicas.iter_mut().find(|r| *r.target().id == *id);
+        if let Some(replica) = replica {
+            replica.hold_off(time, now);
+        }
+    }
+
+    /// Time until a target takes requests again, if all of them hold this host off; `None` if one
+    /// does not or there is no target.
+    pub fn held_for(&self, now: Instant) -> Option<Duration> {
+        let first = self.replicas.iter().map(|r| r.held_for(now)).min();
+        first.filter(|time| !time.is_zero())
     }
 }
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -5,6 +5,8 @@
 //! - `balance`: target selection, hedging and retry budget of a service
 //! - `cold`: request rate limit of a cold target
 //! - `cutoff`: when a scattered query is answered
+//! - `division`: division of a query among data centres
+//! - `gatherers`: which hosts gather the queries over several shards
 //! - `readers`: which hosts read the store
 //! - `replica`: observed state of one target
 //! - `retry`: backoff after requests that did not reach a target
@@ -16,6 +18,8 @@
 mod balance;
 mod cold;
 mod cutoff;
+mod division;
+mod gatherers;
 mod readers;
 mod replica;
 mod retry;
@@ -27,6 +31,8 @@
 pub use balance::{Balancer, Choice, SharedLimits};
 pub use cold::ColdLimit;
 pub use cutoff::{Cutoff, Decision};
+pub use division::{Division, divide};
+pub use gatherers::{CONNECTIONS_USED, Gatherers, designate, limit_share};
 pub use readers::{ReadBackoff, max_staleness};
 pub use replica::{Ending, Replica, SlowReport, Ticket};
 pub use retry::backoff;
--- a/crates/policy/src/direct/replica.rs
+++ b/crates/policy/src/direct/replica.rs
@@ -38,6 +38,9 @@
 /// Time after a connection attempt without an answer before the target is tried again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a target is taken to hold this host off.
+const MAX_HOLD_OFF: Duration = Duration::from_secs(60);
+
 /// Relative cost added for each request in flight.
 const LOAD_WEIGHT: f64 = 0.6;
 
@@ -112,6 +115,8 @@
     /// Consecutive slow answers.
     slow_streak: u32,
     last_slow: Option<Instant>,
+    /// End of the time for which the target asked for no requests.
+    held_until: Option<Instant>,
 }
 
 impl Replica {
@@ -131,6 +136,7 @@
             unreached: None,
             slow_streak: 0,
             last_slow: None,
+            held_until: None,
         }
     }
 
@@ -154,6 +160,22 @@
         now < self.cold_until
     }
 
+    /// Records that the target wants no requests from this host for `time`.
+    pub fn hold_off(&mut self, time: Duration, now: Instant) {
+        self.held_until = self.held_until.max(Some(now + time.min(MAX_HOLD_OFF)));
+    }
+
+    /// Time for which the target still wants no requests from this host.
+    pub fn held_for(&self, now: Instant) -> Duration {
+        self.held_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Whether the target takes a request, as far as this host knows: it does not hold this host
+    /// off and fewer than `limit` of its requests are in flight.
+    pub fn has_room(&self, limit: usize, now: Instant) -> bool {
+        self.in_flight.len() < limit && self.held_for(now).is_zero()
+    }
+
     /// Applies a newer announcement of the same process.
     pub fn update(&mut self, target: Arc<Target>, now: Instant) {
         if !target.cold.is_zero() {
--- a/crates/policy/src/direct/select.rs
+++ b/crates/policy/src/direct/select.rs
@@ -47,10 +47,19 @@
 /// Time after which enough shards are expected to admit a refused query; `None` if too few shards
 /// have any capacity.
 ///
-/// Higher draws wait longer, which spreads the retries of refused callers.
-pub fn retry_after(shares: &[f64], draw: f64, min_shards: usize) -> Option<Duration> {
-    let mut shares = shares.to_vec();
-    shares.sort_by(|a, b| b.total_cmp(a));
-    let needed = *shares.get(min_shards.checked_sub(1)?)?;
-    (needed > 0.0).then(|| growth_time(draw - needed))
+/// `held` holds the time for which all targets of a shard want no requests, if they do. Higher
+/// draws wait longer, which spreads the retries of refused callers.
+pub fn retry_after(
+    shares: &[f64],
+    held: &[Option<Duration>],
+    draw: f64,
+    min_shards: usize,
+) -> Option<Duration> {
+    let wait = |(share, held): (&f64, &Option<Duration>)| match held {
+        Some(held) => Some(*held),
+        None => (*share > 0.0).then(|| growth_time(draw - share)),
+    };
+    let mut waits: Vec<Duration> = shares.iter().zip(held).filter_map(wait).collect();
+    waits.sort();
+    waits.get(min_shards.checked_sub(1)?).copied()
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -122,6 +122,7 @@
             incarnation: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX).max(1),
             liveness: Liveness::Alive,
             age: 0,
+            capacity: own.capacity,
         };
         let mut membership = Self {
             own,
@@ -503,7 +504,12 @@
 }
 
 fn host(peer: &Peer) -> Host {
-    Host { name: peer.name.clone(), data_centre: peer.data_centre.clone(), address: peer.address }
+    Host {
+        name: peer.name.clone(),
+        data_centre: peer.data_centre.clone(),
+        address: peer.address,
+        capacity: peer.capacity,
+    }
 }
 
 /// Whether the claim changes the set of live hosts.
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -22,6 +22,8 @@
     pub data_centre: Name,
     /// Address for other hosts.
     pub address: SocketAddr,
+    /// Processor and link of its machine, in thousandths of a core; 0 if not stated.
+    pub capacity: u32,
 }
 
 /// Hosts to try for a shard, in order of preference, as seen from data centre `own`.
--- a/crates/policy/tests/direct.rs
+++ b/crates/policy/tests/direct.rs
@@ -161,8 +161,8 @@
         for balancer in &mut balancers {
             requests += 1.0;
             balancer.earn();
-            extra += f64::from(u8::from(balancer.try_retry(&[])));
-            extra += f64::from(u8::from(balancer.try_hedge(&[])));
+            extra += f64::from(u8::from(balancer.try_retry(&[], now)));
+            extra += f64::from(u8::from(balancer.try_hedge(&[], now)));
         }
     }
 
@@ -176,13 +176,13 @@
     let few = SharedLimits { hosts: 3, ..LIMITS };
     let mut balancer = Balancer::new(few, fastrand::Rng::with_seed(7), now);
     balancer.update(&[target("a", "here")], "here", 0.0, now);
-    while balancer.try_retry(&[]) {}
+    while balancer.try_retry(&[], now) {}
 
     for hosts in 4..=75 {
         balancer.set_shared_limits(SharedLimits { hosts, ..LIMITS });
     }
 
-    assert!(!balancer.try_retry(&[]));
+    assert!(!balancer.try_retry(&[], now));
 }
 
 /// Loads one shard at 1.5 times its capacity; parts are in time only while its backlog is short.
--- a/crates/policy/tests/net/mod.rs
+++ b/crates/policy/tests/net/mod.rs
@@ -59,6 +59,7 @@
                     name: format!("{centre}-{i}").into(),
                     data_centre: (*centre).into(),
                     address: address(net.nodes.len()),
+                    capacity: 0,
                 };
                 let node = net.node(host);
                 net.nodes.push(node);
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -82,10 +82,13 @@
     let mut balancer = balancer(&["a"], now);
     let open = [balancer.choose(&[], EXPECTED, OVERDUE, now).unwrap().target.id.clone()];
 
-    let hedges = (0..100).filter(|_| balancer.try_hedge(&open)).count();
+    let hedges = (0..100).filter(|_| balancer.try_hedge(&open, now)).count();
 
     assert_eq!(hedges, 0);
-    assert!(balancer.try_retry(&[]), "the budget not spent on hedges is available for retries");
+    assert!(
+        balancer.try_retry(&[], now),
+        "the budget not spent on hedges is available for retries"
+    );
 }
 
 #[test]
@@ -99,7 +102,7 @@
         balancer.earn();
         if n % 20 < 2 {
             delayed += 1;
-            hedged += usize::from(balancer.try_hedge(&[]));
+            hedged += usize::from(balancer.try_hedge(&[], now));
         }
     }
 
@@ -130,7 +133,7 @@
     let shares = |at| [1.0, 1.0, admission.share(at)];
     let draw = 0.9;
 
-    let after = retry_after(&shares(now), draw, 3).unwrap();
+    let after = retry_after(&shares(now), &[None; 3], draw, 3).unwrap();
 
     assert_eq!(select(&shares(now), draw, 3), None);
     assert_eq!(select(&shares(now + after / 2), draw, 3), None, "half of the delay is too short");
@@ -141,15 +144,15 @@
 #[test]
 fn retry_after_spreads_refused_queries() {
     let shares = [1.0, 0.2];
-    let after = |draw| retry_after(&shares, draw, 2).unwrap();
+    let after = |draw| retry_after(&shares, &[None; 2], draw, 2).unwrap();
 
     assert!(after(0.9) > after(0.3) + Duration::from_secs(1));
 }
 
 #[test]
 fn retry_after_is_none_without_capacity() {
-    assert_eq!(retry_after(&[1.0, 0.0], 0.5, 2), None);
-    assert_eq!(retry_after(&[], 0.5, 1), None);
+    assert_eq!(retry_after(&[1.0, 0.0], &[None; 2], 0.5, 2), None);
+    assert_eq!(retry_after(&[], &[], 0.5, 1), None);
 }
 
 #[test]
@@ -205,7 +208,7 @@
     let now = Instant::now();
     let limits = SharedLimits { hosts: 5_200, ..LIMITS };
     let targets = [target("a", "here"), target("b", "here")];
-    let first = || f64::from(u8::from(balancer_of(&targets, limits, now).try_retry(&[])));
+    let first = || f64::from(u8::from(balancer_of(&targets, limits, now).try_retry(&[], now)));
 
     let extra: f64 = (0..5_200).map(|_| first()).sum();
 
@@ -220,29 +223,31 @@
 
     balancer.set_shared_limits(SharedLimits { hosts: 5_200, ..LIMITS });
 
-    assert!(!balancer.try_retry(&[]));
+    assert!(!balancer.try_retry(&[], now));
 }
 
 #[test]
 fn earned_extra_requests_are_kept_when_the_limits_do_not_change() {
     let limits = SharedLimits { hosts: 5_200, ..LIMITS };
     let targets = [target("a", "here"), target("b", "here")];
-    let mut balancer = balancer_of(&targets, limits, Instant::now());
+    let now = Instant::now();
+    let mut balancer = balancer_of(&targets, limits, now);
     (0..10).for_each(|_| balancer.earn());
 
     balancer.set_shared_limits(limits);
 
-    assert!(balancer.try_retry(&[]));
+    assert!(balancer.try_retry(&[], now));
 }
 
 #[test]
 fn one_of_5200_hosts_may_retry_what_it_has_earned() {
     let limits = SharedLimits { hosts: 5_200, ..LIMITS };
     let targets = [target("a", "here"), target("b", "here")];
-    let mut balancer = balancer_of(&targets, limits, Instant::now());
+    let now = Instant::now();
+    let mut balancer = balancer_of(&targets, limits, now);
 
     (0..10).for_each(|_| balancer.earn());
 
-    assert!(balancer.try_retry(&[]));
-    assert!(!balancer.try_retry(&[]));
+    assert!(balancer.try_retry(&[], now));
+    assert!(!balancer.try_retry(&[], now));
 }
--- a/crates/policy/tests/scatter.rs
+++ b/crates/policy/tests/scatter.rs
@@ -13,6 +13,7 @@
         name: name.into(),
         data_centre: centre.into(),
         address: "127.0.0.1:1".parse().unwrap(),
+        capacity: 0,
     };
     Candidate { host, replicas }
 }
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -13,12 +13,16 @@
     View(ViewSummary),
     /// Known hosts of a data centre.
     Peers(Name),
+    /// The receiver's whole view.
+    WholeView,
+    /// The connection carries queries from now on, as [`GatherMessage`](crate::GatherMessage)s.
+    Link,
 }
 
 /// Reply to a [`PeerRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// Answers [`PeerRequest::View`].
+    /// Answers [`PeerRequest::View`] and [`PeerRequest::WholeView`].
     View(Box<Delta>),
     /// Answers [`PeerRequest::Peers`].
     Peers(Vec<Peer>),
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -66,6 +66,15 @@
     /// The frame is too large or malformed; the stream can't be decoded any further.
     #[expect(clippy::should_implement_trait, reason = "an iterator would not end at an error")]
     pub fn next(&mut self) -> Result<Option<Message>> {
+        self.next_as()
+    }
+
+    /// As [`Decoder::next`], for a stream of another type of messages.
+    ///
+    /// # Errors
+    ///
+    /// As [`Decoder::next`].
+    pub fn next_as<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
         let rest = &self.bytes[self.consumed..];
         let Some((prefix, rest)) = rest.split_first_chunk::<PREFIX_LEN>() else {
             return Ok(None);
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -41,6 +41,8 @@
     pub liveness: Liveness,
     /// Seconds since the host was declared dead or left; 0 while it is alive.
     pub age: u32,
+    /// Processor and link of the host's machine, in thousandths of a core; 0 if not stated.
+    pub capacity: u32,
 }
 
 /// Purpose of a datagram.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 //!
 //! - `booking`: requests with at-most-once execution
 //! - `exchange`: anti-entropy between forwarding hosts: routes, targets and hosts
+//! - `gather`: queries that one host gathers for another
 //! - `message`: requests and replies between hosts, and their envelope
 //! - `search`: sub-queries and their replies
 //! - `gossip`: periodic datagrams
@@ -26,6 +27,7 @@
 mod error;
 mod exchange;
 mod frame;
+mod gather;
 mod gossip;
 mod message;
 mod search;
@@ -34,6 +36,7 @@
 pub use crate::error::{Category, Error, Result};
 pub use crate::exchange::{PeerReply, PeerRequest};
 pub use crate::frame::{Decoder, FRAME_LIMIT, encode, from_body, to_frame};
+pub use crate::gather::{FoundPart, GatherMessage, GatherQuery, GatherReply, GatherScope};
 pub use crate::gossip::{DATAGRAM_LIMIT, Datagram, Liveness, Peer, Purpose, Summary, Topic};
 pub use crate::message::{Message, Reply, Request};
 pub use crate::search::{Failure, ShardResults, SubQuery, SubReply};
--- a/crates/protocol/tests/gossip.rs
+++ b/crates/protocol/tests/gossip.rs
@@ -14,6 +14,7 @@
         incarnation: 7,
         liveness: Liveness::Alive,
         age: 0,
+        capacity: 0,
     };
     Datagram {
         from: from.clone(),
--- a/crates/routes/src/change.rs
+++ b/crates/routes/src/change.rs
@@ -27,6 +27,11 @@
     pub targets: Vec<TargetChange>,
     /// Changed orders.
     pub orders: Vec<OrderChange>,
+    /// Whether all announced targets and orders in effect are included, whatever the other host
+    /// has.
+    pub whole: bool,
+    /// Digest of the announced targets and of the orders in effect.
+    pub digest: u64,
     /// Revision of the store up to which the view is complete.
     pub synced: u64,
     /// Time since the store confirmed that revision, in milliseconds; [`u64::MAX`] if it never did or
--- a/crates/routes/src/configuration.rs
+++ b/crates/routes/src/configuration.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_catalogue::{Map, Name, Set};
 use serde::{Deserialize, Serialize};
 
-use crate::Route;
+use crate::{Action, Route};
 
 /// One version of routes, services and limits.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -22,6 +22,17 @@
     pub limits: Limits,
 }
 
+impl Configuration {
+    /// Services that are shards of a route.
+    pub fn shards(&self) -> Set<Name> {
+        let shards = self.routes.iter().filter_map(|r| match &r.action {
+            Action::Gather(gather) => Some(&gather.shards),
+            Action::Forward(_) => None,
+        });
+        shards.flatten().cloned().collect()
+    }
+}
+
 /// Settings of all targets of a service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -22,12 +22,16 @@
 //! - `target`: announcement of one target
 //! - `registry`: all targets, and which announcement takes precedence
 //! - `view`: a host's view of configuration, targets and operators' orders
+//! - `departure`: targets that stated in an answer that they are about to exit
+//! - `digest`: digests of sets of names
 //! - `order`: operators' orders, which restrict where requests may go
 //! - `lapse`: holds back removals of live targets after an outage of the store
 //! - `change`: changes of the view, as hosts exchange them
 
 mod change;
 mod configuration;
+mod departure;
+mod digest;
 mod lapse;
 mod order;
 mod registry;
@@ -38,10 +42,11 @@
 
 pub use crate::change::{Delta, TargetChange};
 pub use crate::configuration::{Configuration, Limits, Service};
+pub use crate::departure::{Departure, Departures};
 pub use crate::lapse::RemovalGuard;
 pub use crate::order::{Order, OrderChange, Orders};
 pub use crate::registry::Registry;
 pub use crate::route::{Action, Gather, Route, WeightedService};
 pub use crate::table::RouteTable;
 pub use crate::target::Target;
-pub use crate::view::{View, ViewSummary};
+pub use crate::view::{Comparison, View, ViewSummary};
--- a/crates/routes/src/order.rs
+++ b/crates/routes/src/order.rs
@@ -1,8 +1,10 @@
 //! Operators' orders, which restrict where requests may go.
 
-use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_catalogue::{Map, Name, Set};
 use serde::{Deserialize, Serialize};
 
+use crate::digest::digest;
+
 /// An operator's order, in effect until it is withdrawn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
@@ -46,6 +48,32 @@
         self.revision
     }
 
+    /// Digest of the keys of the orders in effect; equal sets have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.active().fold(0, |sum, (key, _)| sum ^ digest(key))
+    }
+
+    /// Applies a change from another host. `synced` is the revision up to which these orders are
+    /// complete: an unknown order that was given before it has been withdrawn.
+    pub fn merge(&mut self, change: OrderChange, synced: u64) -> bool {
+        let is_known = self.entries.contains_key(&change.key);
+        let withdrawn = !is_known && change.revision <= synced;
+        let order = change.order.filter(|_| !withdrawn);
+        self.apply(OrderChange { order, ..change })
+    }
+
+    /// Ends the orders that are not in `present`, a complete set as of revision `last`; true if
+    /// there were any.
+    pub fn retain(&mut self, present: &Set<Name>, last: u64) -> bool {
+        let mut changed = false;
+        for (key, (revision, order)) in &mut self.entries {
+            if *revision <= last && !present.contains(key) {
+                changed |= order.take().is_some();
+            }
+        }
+        changed
+    }
+
     /// Applies a change; true if the order differs. A newer change is passed on to other hosts even
     /// if it does not.
     pub fn apply(&mut self, change: OrderChange) -> bool {
--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -6,8 +6,9 @@
 
 use std::sync::Arc;
 
-use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_catalogue::{Map, Name, Set};
 
+use crate::digest::digest;
 use crate::{Target, TargetChange};
 
 /// All targets ever announced, including those that are gone.
@@ -15,6 +16,8 @@
 pub struct Registry {
     entries: Map<Name, Entry>,
     revision: u64,
+    /// Digest of the ids of announced targets.
+    digest: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -31,6 +34,11 @@
         self.revision
     }
 
+    /// Digest of the set of announced targets; equal sets have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Announced targets, including draining ones.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.entries.values().filter(|e| e.listed).filter_map(|e| e.last.as_ref())
@@ -51,6 +59,7 @@
         let Some(entry) = self.entries.get_mut(&target.id) else {
             let id = target.id.clone();
             let entry = Entry { last: Some(Arc::new(target)), listed: true, revision };
+            self.digest ^= digest(&id);
             self.entries.insert(id, entry);
             self.revision = self.revision.max(revision);
             return true;
@@ -68,11 +77,14 @@
         }
         let same =
             entry.listed && entry.last.as_ref().is_some_and(|last| last.is_equivalent(&target));
+        let id = target.id.clone();
         entry.last = Some(Arc::new(target));
         if same {
             return false;
         }
-        entry.listed = true;
+        if !std::mem::replace(&mut entry.listed, true) {
+            self.digest ^= digest(&id);
+        }
         entry.revision = revision;
         self.revision = self.revision.max(revision);
         true
@@ -87,10 +99,34 @@
         }
         entry.listed = false;
         entry.revision = revision;
+        self.digest ^= digest(id);
         self.revision = self.revision.max(revision);
         true
     }
 
+    /// Removes the announced targets that are not in `present`, a complete set as of revision
+    /// `last`; true if there were any.
+    pub fn retain(&mut self, present: &Set<Name>, last: u64) -> bool {
+        let mut changed = false;
+        for (id, entry) in &mut self.entries {
+            if entry.listed && entry.revision <= last && !present.contains(id) {
+                entry.listed = false;
+                self.digest ^= digest(id);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Records that the process of a target that started at `born` is about to exit; true if it
+    /// was not known to be.
+    pub fn mark_leaving(&mut self, id: &str, born: u64) -> bool {
+        let last = self.entries.get_mut(id).and_then(|e| e.last.as_mut());
+        let Some(last) = last.filter(|t| t.born == born && !t.draining) else { return false };
+        Arc::make_mut(last).draining = true;
+        true
+    }
+
     /// Changes after revision `after`, up to and including `last`; complete for a host that has all
     /// changes up to `after`.
     pub fn between(&self, after: u64, last: u64) -> Vec<TargetChange> {
@@ -108,13 +144,17 @@
     /// Applies a change from another host; true if it changes where requests may go.
     ///
     /// Its revision is recorded even if the content is known: other hosts request only the changes
-    /// after a revision, and must get this one.
-    pub fn merge(&mut self, change: TargetChange) -> bool {
+    /// after a revision, and must get this one. `synced` is the revision up to which this registry
+    /// is complete: an unknown target that was announced before it is gone.
+    pub fn merge(&mut self, change: TargetChange, synced: u64) -> bool {
         let TargetChange { id, revision, target, listed } = change;
         self.revision = self.revision.max(revision);
         let Some(entry) = self.entries.get_mut(&id) else {
             let last = target.map(Arc::new);
-            let changed = listed && last.is_some();
+            let changed = listed && last.is_some() && revision > synced;
+            if changed {
+                self.digest ^= digest(&id);
+            }
             self.entries.insert(id, Entry { last, listed: changed, revision });
             return changed;
         };
@@ -138,7 +178,9 @@
         if !older {
             entry.last = target;
         }
-        entry.listed = listed;
+        if std::mem::replace(&mut entry.listed, listed) != listed {
+            self.digest ^= digest(&id);
+        }
         entry.revision = revision;
         !same
     }
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use sapphirerack_catalogue::{Name, Set};
 use serde::{Deserialize, Serialize};
 
 use crate::{Configuration, Delta, Orders, Registry, RouteTable, Target};
@@ -14,6 +15,8 @@
     pub version: u64,
     /// Revision of the last change of targets or orders.
     pub content: u64,
+    /// Digest of the announced targets and of the orders in effect.
+    pub digest: u64,
     /// Revision of the store up to which the view is complete.
     pub synced: u64,
     /// Time since the store confirmed that revision, in milliseconds; [`u64::MAX`] if it never did or
@@ -21,6 +24,18 @@
     pub age: u64,
 }
 
+/// How a host's view relates to that of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Comparison {
+    /// The views have the same content, or this one is ahead.
+    Current,
+    /// The other view has newer content.
+    Behind,
+    /// Both views end at the same change, but differ. One of them missed a removal: it was listed
+    /// by a host that never saw the removed entry, and so could not pass the removal on.
+    Diverged,
+}
+
 /// A host's view of configuration, targets and orders, and when the store last confirmed it.
 #[derive(Debug, Default)]
 pub struct View {
@@ -126,10 +141,14 @@
         if let Some(certain) = self.certain {
             // Makes other hosts read the store themselves rather than take this view for complete.
             let synced = self.synced.min(certain);
-            return ViewSummary { version, content, synced, age: u64::MAX };
+            return ViewSummary { version, content, digest: self.digest(), synced, age: u64::MAX };
         }
         let age = self.age(now).map_or(u64::MAX, |a| a.as_millis() as u64);
-        ViewSummary { version, content, synced: self.synced, age }
+        ViewSummary { version, content, digest: self.digest(), synced: self.synced, age }
+    }
+
+    fn digest(&self) -> u64 {
+        self.registry.digest() ^ self.orders.digest()
     }
 
     /// Time since the store last confirmed the view; `None` if it never did.
@@ -137,22 +156,35 @@
         self.confirmed.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Whether the view with that summary has newer content than this one.
-    pub fn is_behind(&self, other: &ViewSummary, now: Instant) -> bool {
+    /// Compares this view with one of that summary.
+    pub fn compare(&self, other: &ViewSummary, now: Instant) -> Comparison {
         let own = self.summary(now);
-        other.version > own.version || other.content > own.content
+        if other.version > own.version || other.content > own.content {
+            return Comparison::Behind;
+        }
+        let same = other.content == own.content && other.digest != own.digest;
+        let is_certain = own.age != u64::MAX && other.age != u64::MAX;
+        if same && is_certain && other.synced >= own.synced {
+            return Comparison::Diverged;
+        }
+        Comparison::Current
     }
 
     /// Adopts the age of another host's view if its content is the same and its age lower.
     pub fn refresh(&mut self, other: &ViewSummary, now: Instant) {
         let own = self.summary(now);
         let same = other.content == own.content && other.version == own.version;
-        if same && other.age < own.age {
+        if same && other.digest == own.digest && other.age < own.age {
             let at = now.checked_sub(Duration::from_millis(other.age));
             self.confirm(other.synced, at.unwrap_or(now));
         }
     }
 
+    /// The whole view, for a host whose view has diverged from this one.
+    pub fn whole(&self, now: Instant) -> Delta {
+        Delta { whole: true, ..self.delta(&ViewSummary::default(), now) }
+    }
+
     /// Changes that a view with that summary lacks.
     pub fn delta(&self, other: &ViewSummary, now: Instant) -> Delta {
         let own = self.summary(now);
@@ -161,6 +193,8 @@
             configuration: newer.then(|| self.table.configuration().clone()),
             targets: self.registry.between(other.content, own.content),
             orders: self.orders.between(other.content, own.content),
+            whole: false,
+            digest: own.digest,
             synced: own.synced,
             age: own.age,
         }
@@ -168,14 +202,25 @@
 
     /// Merges changes from another host; true if something changed.
     pub fn merge(&mut self, delta: Delta, now: Instant) -> bool {
-        let mut changed = delta.configuration.is_some_and(|c| self.adopt(c));
+        let synced = self.synced;
+        let mut changed = false;
+        // While a removal is held back here, the view knows more than any other.
+        if delta.whole && delta.age != u64::MAX && self.certain.is_none() {
+            let listed = delta.targets.iter().filter(|c| c.listed);
+            let targets: Set<Name> = listed.map(|c| c.id.clone()).collect();
+            let active = delta.orders.iter().filter(|c| c.order.is_some());
+            let orders: Set<Name> = active.map(|c| c.key.clone()).collect();
+            changed |= self.registry.retain(&targets, delta.synced);
+            changed |= self.orders.retain(&orders, delta.synced);
+        }
+        changed |= delta.configuration.is_some_and(|c| self.adopt(c));
         for change in delta.targets {
-            changed |= self.registry.merge(change);
+            changed |= self.registry.merge(change, synced);
         }
         for order in delta.orders {
-            changed |= self.orders.apply(order);
+            changed |= self.orders.merge(order, synced);
         }
-        if delta.age != u64::MAX {
+        if delta.age != u64::MAX && delta.digest == self.digest() {
             let at = now.checked_sub(Duration::from_millis(delta.age));
             self.confirm(delta.synced, at.unwrap_or(now));
         }
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -4,7 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use sapphirerack_routes::{Configuration, Order, OrderChange, Registry, Target, View, ViewSummary};
+use sapphirerack_routes::{
+    Comparison, Configuration, Order, OrderChange, Registry, Target, View, ViewSummary,
+};
 
 fn target(id: &str, born: u64, sequence: u64) -> Target {
     Target {
@@ -108,8 +110,9 @@
     exchange(&certain, &mut last, now);
 
     assert_eq!(usable(&last), ["b"]);
-    assert!(
-        uncertain.is_behind(&certain.summary(now), now),
+    assert_eq!(
+        uncertain.compare(&certain.summary(now), now),
+        Comparison::Behind,
         "it requests the removal from a host that has it"
     );
 }
@@ -249,8 +252,138 @@
     view.confirm(5, now);
     let later = now + Duration::from_secs(3);
 
-    view.refresh(&ViewSummary { version: 0, content: 0, synced: 9, age: 100 }, later);
+    view.refresh(&ViewSummary { synced: 9, age: 100, ..ViewSummary::default() }, later);
 
     assert_eq!(view.age(later), Some(Duration::from_millis(100)));
     assert_eq!(view.synced(), 9);
 }
+
+/// View of a host that listed the store at revision `synced` and found these targets.
+fn listed(targets: &[Target], synced: u64, now: Instant) -> View {
+    let mut view = View::default();
+    for (target, revision) in targets.iter().zip(5..) {
+        view.registry_mut().announce(target.clone(), revision);
+    }
+    view.confirm(synced, now);
+    view
+}
+
+#[test]
+fn restarted_host_does_not_take_a_removed_target_from_a_host_that_is_cut_off_from_the_store() {
+    let now = Instant::now();
+    let mut stale = listed(&[target("a", 1, 1)], 20, now);
+    stale.registry_mut().announce(target("gone", 1, 1), 15);
+    // The target was removed at revision 30.
+    let mut restarted = listed(&[target("a", 1, 1)], 40, now);
+
+    exchange(&stale, &mut restarted, now);
+
+    assert_eq!(usable(&restarted), ["a"]);
+}
+
+#[test]
+fn restarted_host_does_not_take_a_withdrawn_order_from_a_host_that_is_cut_off_from_the_store() {
+    let now = Instant::now();
+    let mut stale = listed(&[target("a", 1, 1)], 20, now);
+    let order = Some(Order::Close { data_centre: "munich".into() });
+    stale.orders_mut().apply(OrderChange { key: "close".into(), revision: 15, order });
+    let mut restarted = listed(&[target("a", 1, 1)], 40, now);
+
+    exchange(&stale, &mut restarted, now);
+
+    assert_eq!(usable(&restarted), ["a"]);
+}
+
+#[test]
+fn removal_that_no_host_saw_reaches_a_host_that_was_cut_off() {
+    let now = Instant::now();
+    let mut stale = listed(&[target("a", 1, 1)], 20, now);
+    stale.registry_mut().announce(target("gone", 1, 1), 15);
+    let mut restarted = listed(&[target("a", 1, 1)], 40, now);
+    exchange(&stale, &mut restarted, now);
+
+    assert_eq!(stale.compare(&restarted.summary(now), now), Comparison::Diverged);
+    stale.merge(restarted.whole(now), now);
+
+    assert_eq!(usable(&stale), ["a"]);
+    assert_eq!(stale.compare(&restarted.summary(now), now), Comparison::Current);
+    assert_eq!(stale.synced(), 40);
+}
+
+#[test]
+fn diverged_view_does_not_count_as_confirmed_by_the_other() {
+    let now = Instant::now();
+    let mut stale = listed(&[target("a", 1, 1)], 20, now);
+    stale.registry_mut().announce(target("gone", 1, 1), 15);
+    let mut restarted = listed(&[target("a", 1, 1)], 40, now);
+    restarted.registry_mut().announce(target("b", 1, 1), 50);
+
+    exchange(&restarted, &mut stale, now);
+
+    assert_eq!(usable(&stale), ["a", "b", "gone"]);
+    assert_eq!(stale.synced(), 20, "it would never read the store again");
+}
+
+#[test]
+fn whole_view_does_not_resolve_a_removal_that_is_held_back() {
+    let now = Instant::now();
+    let mut holding = listed(&[target("a", 1, 1), target("b", 1, 1)], 20, now);
+    holding.mark_uncertain(19);
+    let other = listed(&[target("a", 1, 1)], 40, now);
+
+    holding.merge(other.whole(now), now);
+
+    assert_eq!(usable(&holding), ["a", "b"]);
+}
+
+#[test]
+fn leaving_target_is_not_revived_by_its_later_announcements() {
+    let now = Instant::now();
+    let mut view = listed(&[target("a", 1, 1), target("b", 1, 1)], 20, now);
+
+    assert!(view.registry_mut().mark_leaving("a", 1));
+    view.registry_mut().announce(target("a", 1, 2), 30);
+
+    assert_eq!(usable(&view), ["b"]);
+    assert!(!view.registry_mut().mark_leaving("a", 1), "it is known already");
+}
+
+#[test]
+fn leaving_target_is_not_revived_by_another_host() {
+    let now = Instant::now();
+    let mut view = listed(&[target("a", 1, 1)], 20, now);
+    let mut other = listed(&[target("a", 1, 1)], 20, now);
+    other.registry_mut().announce(target("a", 1, 2), 30);
+    other.registry_mut().remove(&"a".into(), 31);
+    other.registry_mut().announce(target("a", 1, 3), 32);
+    view.registry_mut().mark_leaving("a", 1);
+
+    exchange(&other, &mut view, now);
+
+    assert!(usable(&view).is_empty());
+}
+
+#[test]
+fn restarted_host_learns_from_another_one_that_a_target_is_leaving() {
+    let now = Instant::now();
+    let mut view = listed(&[target("a", 1, 1)], 20, now);
+    view.registry_mut().mark_leaving("a", 1);
+    let mut restarted = View::default();
+
+    exchange(&view, &mut restarted, now);
+
+    assert!(usable(&restarted).is_empty());
+}
+
+#[test]
+fn target_that_starts_again_under_its_id_is_not_leaving() {
+    let now = Instant::now();
+    let mut view = listed(&[target("a", 1, 7)], 20, now);
+    view.registry_mut().mark_leaving("a", 1);
+
+    view.registry_mut().announce(target("a", 2, 1), 30);
+
+    assert_eq!(usable(&view), ["a"]);
+    assert!(!view.registry_mut().mark_leaving("a", 1), "a late answer of the earlier process");
+    assert_eq!(usable(&view), ["a"]);
+}
--- /dev/null
+++ b/crates/sapphirerack/tests/gatherers.rs
@@ -0,0 +1,197 @@
+//! Hosts on small machines whose queries are gathered by a host on a large one.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+mod platform_support;
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use platform_support::{
+    Host, Store, Target, TargetBehaviour, configuration, read_message, unused_address, wait_until,
+};
+
+const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
+
+/// Connections that a target accepts; too few for each host to keep its own.
+const CONNECTIONS: u32 = 4;
+
+/// Latency objective of the queries.
+const OBJECTIVE: Duration = Duration::from_millis(300);
+
+/// Two large and three small hosts in one data centre.
+struct Fleet {
+    store: Store,
+    targets: Vec<Target>,
+    large: Vec<Host>,
+    small: Vec<Host>,
+}
+
+fn fleet() -> Fleet {
+    let store = Store::start();
+    let mut config = configuration(3, &SHARDS, "desk");
+    for service in config["Upstreams"].as_array_mut().unwrap() {
+        service["MaxConns"] = CONNECTIONS.into();
+    }
+    store.put("op/config", &config);
+    let targets: Vec<Target> =
+        (1..=6).map(|n| Target::start(&[n], TargetBehaviour::Normal)).collect();
+    for (n, target) in targets.iter().enumerate() {
+        store.put(&format!("servers/{}", target.id), &target.announcement(SHARDS[n / 2]));
+    }
+    // All hosts use the same port, each on an address of its own.
+    let port = unused_address().port();
+    let large = (1..=2).map(|n| start(&store, &format!("large-{n}"), 0.5, [127, 0, 0, n], port));
+    let large = large.collect();
+    let small = (3..=5).map(|n| start(&store, &format!("small-{n}"), 0.1, [127, 0, 0, n], port));
+    let small = small.collect();
+    let fleet = Fleet { store, targets, large, small };
+    fleet.hosts().for_each(Host::await_ready);
+    wait_until(|| fleet.small.iter().all(query_is_delegated));
+    fleet
+}
+
+fn start(store: &Store, name: &str, share: f64, address: [u8; 4], port: u16) -> Host {
+    let hosts: SocketAddr = (address, port).into();
+    let seed: SocketAddr = ([127, 0, 0, 1], port).into();
+    let (callers, ready) = (unused_address(), unused_address());
+    let settings = json!({
+        "name": name, "data_centre": "here",
+        "listen": { "callers": callers, "ready": ready, "hosts": hosts },
+        "store": store.address, "seeds": [seed],
+        "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
+        "machine": { "share": share, "cores": 1, "link": 100 },
+    });
+    Host::start_with_settings(callers, ready, &settings, Stdio::null())
+}
+
+impl Fleet {
+    fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.large.iter().chain(&self.small)
+    }
+}
+
+/// Queries that a host has passed to a gatherer.
+fn delegated(host: &Host) -> f64 {
+    let mut stream = TcpStream::connect(host.ready).unwrap();
+    stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let metrics = read_message(&mut BufReader::new(stream)).unwrap();
+    let text = String::from_utf8(metrics.body).unwrap();
+    let lines = text.lines().filter(|l| l.contains("delegated_queries") && !l.starts_with('#'));
+    lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+fn query_is_delegated(host: &Host) -> bool {
+    let before = delegated(host);
+    host.get("/query/a").status() == 200 && delegated(host) > before
+}
+
+#[test]
+fn gathered_answer_is_the_same_as_one_of_the_host_itself() {
+    let fleet = fleet();
+
+    let (own, delegated) = (fleet.large[0].get("/query/a?b=c"), fleet.small[0].get("/query/a?b=c"));
+
+    assert_eq!((own.status(), delegated.status()), (200, 200));
+    assert_eq!(delegated.header("missing-parts"), Some("0"));
+    assert_eq!(delegated.header("part-seals").unwrap().split(", ").count(), 3);
+    assert_eq!(delegated.body.len(), own.body.len());
+    let requests: Vec<_> = fleet.targets.iter().flat_map(Target::requests).collect();
+    let forwarded: Vec<_> = requests.iter().filter(|r| r.path() == "/query/a?b=c").collect();
+    assert_eq!(forwarded.len(), 2 * SHARDS.len());
+    assert!(forwarded.iter().all(|r| r.header("attempt-id") == Some("attempt-1")));
+}
+
+#[test]
+fn killed_gatherer_costs_no_answer() {
+    let Fleet { small, mut large, targets: _targets, store: _store } = fleet();
+
+    large[1].signal("-KILL");
+    large[1].wait();
+
+    for host in small.iter().cycle().take(12) {
+        let answer = host.get("/query/a");
+        assert_eq!((answer.status(), answer.header("missing-parts")), (200, Some("0")));
+    }
+}
+
+#[test]
+fn frozen_gatherer_costs_no_answer_and_no_objective() {
+    let fleet = fleet();
+    fleet.large[1].signal("-STOP");
+
+    let mut late = 0;
+    for host in fleet.small.iter().cycle().take(12) {
+        let start = Instant::now();
+        let answer = host.get("/query/a");
+        assert_eq!((answer.status(), answer.header("missing-parts")), (200, Some("0")));
+        late += usize::from(start.elapsed() > OBJECTIVE);
+    }
+
+    fleet.large[1].signal("-CONT");
+    assert_eq!(late, 0);
+}
+
+#[test]
+fn hosts_gather_their_own_queries_when_no_gatherer_is_left() {
+    let Fleet { small, mut large, targets: _targets, store: _store } = fleet();
+
+    for host in &mut large {
+        host.signal("-KILL");
+        host.wait();
+    }
+
+    for host in small.iter().cycle().take(12) {
+        let answer = host.get("/query/a");
+        assert_eq!((answer.status(), answer.header("missing-parts")), (200, Some("0")));
+    }
+}
+
+#[test]
+fn stopping_gatherer_cuts_off_no_query() {
+    let Fleet { small, mut large, targets, store: _store } = fleet();
+    targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(100))));
+
+    let answers = std::thread::scope(|scope| {
+        let load = small.iter().map(|host| {
+            scope.spawn(move || (0..20).map(|_| host.get("/query/a").status()).collect::<Vec<_>>())
+        });
+        let load: Vec<_> = load.collect();
+        std::thread::sleep(Duration::from_millis(350));
+        large[1].terminate();
+        load.into_iter().flat_map(|l| l.join().unwrap()).collect::<Vec<u16>>()
+    });
+
+    assert!(answers.iter().all(|status| *status == 200), "{answers:?}");
+    assert!(large[1].wait());
+}
+
+#[test]
+fn query_is_ended_at_its_targets_when_the_caller_disconnects() {
+    let fleet = fleet();
+    fleet.targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::Hang));
+    let aborted = || fleet.targets.iter().map(Target::aborted).sum::<usize>();
+    let before: usize = fleet.targets.iter().map(|t| t.requests().len()).sum();
+
+    let caller = fleet.small[0].start_get("/query/x");
+    wait_until(|| fleet.targets.iter().map(|t| t.requests().len()).sum::<usize>() >= before + 3);
+    drop(caller);
+
+    wait_until(|| aborted() >= 3);
+}
+
+#[test]
+fn refusal_of_a_gatherer_reaches_the_caller() {
+    let fleet = fleet();
+    for target in &fleet.targets {
+        fleet.store.remove(&format!("servers/{}", target.id));
+    }
+
+    wait_until(|| fleet.small[0].get("/query/a").status() == 503);
+
+    assert!(fleet.small[0].get("/query/a").header("retry-after").is_some());
+}
--- a/crates/sapphirerack/tests/platform_support/host.rs
+++ b/crates/sapphirerack/tests/platform_support/host.rs
@@ -119,6 +119,13 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
+    /// Most memory that the process has taken so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Waits for the process to exit; returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
         self.child.wait().unwrap().success()
--- a/crates/sapphirerack/tests/platform_support/target.rs
+++ b/crates/sapphirerack/tests/platform_support/target.rs
@@ -1,7 +1,8 @@
 //! Fake targets.
 
+use std::cell::Cell;
 use std::io::{BufReader, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -39,9 +40,39 @@
     DisconnectFirst(usize),
     /// Behaves as `Disconnect` for one request, then as `Refuse`.
     DisconnectThenRefuse,
+    /// Answers with its part and states that it is about to exit.
+    Leaving,
+    /// Behaves as `Leaving` after a delay.
+    SlowLeaving(Duration),
+    /// Refuses the request and states that it is about to exit.
+    LeavingRefusal,
+    /// Refuses the request and wants no other one for this time.
+    HoldOff(Duration),
+    /// Sends a head without end.
+    EndlessHead,
+    /// Sends a body without end.
+    EndlessBody,
+    /// Sends the response again, without an id, when the next request has come.
+    LateCopy,
 }
 
 impl TargetBehaviour {
+    /// Whether the request is refused as not executed.
+    fn is_refusal(self) -> bool {
+        matches!(self, Self::Refuse | Self::LeavingRefusal | Self::HoldOff(_))
+    }
+
+    /// Beginning of a response without end, and what is then sent over and over.
+    fn endless_reply(self) -> Option<(&'static str, &'static str)> {
+        match self {
+            Self::EndlessHead => Some(("HTTP/1.1 200 OK\r\n", "x-more: 0123456789\r\n")),
+            Self::EndlessBody => {
+                Some(("HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n", "0123456789abcdef"))
+            }
+            _ => None,
+        }
+    }
+
     /// Behaviour for the next request.
     fn next(&mut self) -> Self {
         match self {
@@ -101,13 +132,27 @@
         let address = listen_at(address, move |stream| {
             let mut out = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
+            let late_copy: Cell<Option<Vec<u8>>> = Cell::new(None);
             while let Some(request) = read_message(&mut reader) {
                 received.lock().unwrap().push(request.clone());
                 let behaviour = current.lock().unwrap().next();
-                if behaviour != TargetBehaviour::Refuse && is_addressed_to(&request, &own_id) {
+                if !behaviour.is_refusal() && is_addressed_to(&request, &own_id) {
                     let attempt = request.header("attempt-id").unwrap_or_default();
                     attempts.lock().unwrap().push(attempt.to_owned());
                 }
+                if let Some((start, rest)) = behaviour.endless_reply() {
+                    aborts.fetch_add(write_endlessly(&mut out, start, rest), Ordering::Relaxed);
+                    return;
+                }
+                if let Some(copy) = late_copy.replace(None)
+                    && out.write_all(&copy).is_err()
+                {
+                    return;
+                }
+                if behaviour == TargetBehaviour::LateCopy {
+                    let headers = [("Server-Seal", "seal.of.another")];
+                    late_copy.set(Some(encode_response("200 OK", &headers, &body)));
+                }
                 if behaviour == TargetBehaviour::Hang {
                     // The host sends nothing more, so the read returns when the connection ends.
                     let _ = reader.read(&mut [0]);
@@ -160,6 +205,16 @@
     }
 }
 
+/// Writes until the peer closes the connection; returns 1.
+fn write_endlessly(out: &mut TcpStream, start: &str, rest: &str) -> usize {
+    let rest = rest.repeat(64);
+    let mut open = out.write_all(start.as_bytes()).is_ok();
+    while open {
+        open = out.write_all(rest.as_bytes()).is_ok();
+    }
+    1
+}
+
 fn is_addressed_to(request: &Message, id: &str) -> bool {
     request.header("expect-instance") == Some(id)
 }
@@ -177,6 +232,8 @@
     let seal = format!("seal.{id}.{attempt}");
     let signed = [("Attempt-Id", attempt), ("Server-Seal", seal.as_str())];
     let normal = encode_response("200 OK", &signed, body);
+    let leaving = [&signed[..], &[("Server-Leaving", "1")]].concat();
+    let leaving = encode_response("200 OK", &leaving, body);
     match behaviour {
         TargetBehaviour::Normal => Some(normal),
         TargetBehaviour::Slow(time) => {
@@ -187,9 +244,27 @@
             let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt)];
             Some(encode_response("503 Service Unavailable", &headers, b""))
         }
+        TargetBehaviour::Leaving => Some(leaving),
+        TargetBehaviour::SlowLeaving(time) => {
+            thread::sleep(time);
+            Some(leaving)
+        }
+        TargetBehaviour::LeavingRefusal => {
+            let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt), ("Server-Leaving", "1")];
+            Some(encode_response("503 Service Unavailable", &headers, b""))
+        }
+        TargetBehaviour::HoldOff(time) => {
+            let seconds = format!("{:.3}", time.as_secs_f64());
+            let headers =
+                [("Not-Executed", "1"), ("Attempt-Id", attempt), ("Retry-After", &*seconds)];
+            Some(encode_response("503 Service Unavailable", &headers, b""))
+        }
+        TargetBehaviour::LateCopy => Some(normal),
         TargetBehaviour::Disconnect
         | TargetBehaviour::DisconnectFirst(_)
         | TargetBehaviour::DisconnectThenRefuse
+        | TargetBehaviour::EndlessHead
+        | TargetBehaviour::EndlessBody
         | TargetBehaviour::Hang => None,
         TargetBehaviour::WrongAttempt => {
             let headers = [("Attempt-Id", "another"), ("Server-Seal", seal.as_str())];
