Pace the calls to the seeds at the start

Ruled out: a tree of seeds, which needs to know the fleet before the start. Change: the pause between rounds doubles, a call may take 150 ms, four silent rounds mean that the seeds are down, and few hosts read the store much sooner than the others.

--- a/crates/forward/src/gather_server.rs
+++ b/crates/forward/src/gather_server.rs
@@ -79,7 +79,7 @@
         let working = async {
             tokio::time::sleep_until(aim.into()).await;
             send(&outbox, &GatherMessage::Accepted { id });
-            std::future::pending().await
+            std::future::pending::<()>().await;
         };
         let reply = |reply| send(&outbox, &GatherMessage::Reply { id, reply });
         tokio::select! {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -28,12 +28,19 @@
 /// Timeout of a call to another host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Timeout of a call to another host during startup.
-const STARTUP_TIMEOUT: Duration = Duration::from_millis(40);
+/// Timeout of a call to another host during startup, when many hosts may call it.
+const STARTUP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Pause between two rounds of calls to the seeds during startup.
+/// Pause after the first round of calls to the seeds during startup; doubles with each round.
 const STARTUP_PAUSE: Duration = Duration::from_millis(25);
 
+/// Rounds without an answer after which the seeds are taken to be down; they may start slightly
+/// later than this host.
+const MAX_SILENT_ROUNDS: u32 = 4;
+
+/// Longest pause between two rounds of calls to the seeds.
+const MAX_STARTUP_PAUSE: Duration = Duration::from_millis(200);
+
 /// Number of hosts of the same data centre to which urgent changes are gossiped at once.
 const URGENT_FANOUT: usize = 2;
 
@@ -240,12 +247,14 @@
     }
 }
 
-/// Fetches the view from the given hosts in turn until there is a configuration, or until a round
-/// in which none of them answers: they are down then, and the store has to be read.
+/// Fetches the view from the given hosts in turn until there is a configuration, or until none of
+/// them has answered for some rounds: they are down then, and the store has to be read.
 pub(crate) async fn fetch_initial_view(host: Rc<Host>, mut peers: Vec<SocketAddr>) {
     fastrand::shuffle(&mut peers);
-    loop {
-        let mut answered = false;
+    let mut pause = STARTUP_PAUSE;
+    let mut silent_rounds = 0;
+    while silent_rounds < MAX_SILENT_ROUNDS {
+        silent_rounds += 1;
         for peer in &peers {
             if host.view.borrow().version() > 0 {
                 return;
@@ -254,14 +263,12 @@
             let response =
                 tokio::time::timeout(STARTUP_TIMEOUT, call(*peer, &PeerRequest::View(own))).await;
             if let Ok(Ok(PeerReply::View(delta))) = response {
-                answered = true;
+                silent_rounds = 0;
                 merge_delta(&host, *peer, *delta);
             }
         }
-        if !answered {
-            return;
-        }
-        tokio::time::sleep(STARTUP_PAUSE).await;
+        tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+        pause = (pause * 2).min(MAX_STARTUP_PAUSE);
     }
 }
 
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -12,10 +12,13 @@
 use crate::store::Store;
 use crate::{Category, Error, Event, Item, Result};
 
-/// Mean time at startup that a host which is not a seed waits for the seeds before it reads the
+/// Least time at startup that a host which is not a seed waits for the seeds before it reads the
 /// store itself.
 const SEED_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Most time that it waits beyond that.
+const SEED_TIMEOUT_SPREAD: Duration = Duration::from_millis(800);
+
 /// Time over which hosts that start together spread their first requests to the seeds.
 const STARTUP_JITTER: Duration = Duration::from_millis(100);
 
@@ -34,7 +37,8 @@
         missed_changes: true,
     };
     if !host.is_seed() {
-        let timeout = SEED_TIMEOUT.mul_f64(0.75 + fastrand::f64() / 2.0);
+        // Few hosts wait much less than the others; these learn the view from them.
+        let timeout = SEED_TIMEOUT + SEED_TIMEOUT_SPREAD.mul_f64(fastrand::f64().cbrt());
         let seeds = host.settings.borrow().seed_hosts();
         // All hosts may start at the same time, and the seeds slightly later than this one.
         tokio::time::sleep(STARTUP_JITTER.mul_f64(fastrand::f64())).await;
