Give early rejections, hosts, data centres and targets in trouble their lines, and split the host

Ruled out: a line a hedge, which is counted by metrics and would drown the rest. The fleet as this host sees it moves from host.rs to fleet.rs.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -86,6 +86,10 @@
         let (latency, slow_again) = host.with_balancer(&self.service, end).unwrap_or_default();
         if slow_again {
             host.slow_changed.notify_one();
+            host.log_target(&choice.target.id, "slow");
+        }
+        if *ending == Ending::Unreached {
+            host.log_target(&choice.target.id, "unreached");
         }
         if *ending == Ending::Answered
             && let Some(latency) = latency
--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -40,7 +40,7 @@
     query: Query<'_>,
     attempts: &Attempts,
 ) -> Gathered {
-    if host.gathers_own_queries() {
+    if host.fleet.gathers_own_queries() {
         return gather(host, query, attempts).await;
     }
     let delegation = Delegation { host, query, tried: Vec::new(), may_have_started: false };
@@ -103,13 +103,13 @@
         let route = message.route.name.clone();
         match host.links.send(gatherer.address, message) {
             Ok(sent) => {
-                host.with_gatherers(|g| g.start(&name));
+                host.fleet.with_gatherers(|g| g.start(&name));
                 host.metrics.count_delegated(&route);
                 Some(Self { host: host.clone(), gatherer: name, sent, succeeded: None })
             }
             Err(e) => {
                 log::warn!("event=query_not_sent error=\"{e}\"");
-                host.with_gatherers(|g| g.record_failure(&name, host.now()));
+                host.fleet.with_gatherers(|g| g.record_failure(&name, host.now()));
                 None
             }
         }
@@ -147,7 +147,7 @@
 impl Drop for Delegated {
     fn drop(&mut self) {
         let now = self.host.now();
-        self.host.with_gatherers(|g| g.end(&self.gatherer, self.succeeded, now));
+        self.host.fleet.with_gatherers(|g| g.end(&self.gatherer, self.succeeded, now));
     }
 }
 
@@ -174,7 +174,7 @@
     /// Passes the query to a gatherer that was not tried; `None` if there is none.
     fn start(&mut self) -> Option<Delegated> {
         while self.tried.len() < MAX_GATHERERS {
-            let gatherer = self.host.choose_gatherer(&self.tried)?;
+            let gatherer = self.host.fleet.choose_gatherer(&self.tried, self.host.now())?;
             self.tried.push(gatherer.name.clone());
             let attempts = self.query.call.route.attempts;
             // A gatherer that was too slow to accept the query may have sent each part once.
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -5,18 +5,17 @@
 use std::time::{Duration, Instant};
 
 use hyper::header::HeaderValue;
-use sapphirerack_catalogue::{Map, Name, Set};
+use sapphirerack_catalogue::{Map, Name};
 use sapphirerack_policy::direct::{
-    Balancer, CONNECTIONS_USED, Gatherers, LatencyEstimator, SharedLimits, SlowReport, Split,
-    designate, limit_share,
+    Balancer, CONNECTIONS_USED, LatencyEstimator, SharedLimits, SlowReport, Split,
 };
-use sapphirerack_policy::{Clock, Host as HostName, Membership};
-use sapphirerack_protocol::Liveness;
+use sapphirerack_policy::{Clock, Membership};
 use sapphirerack_routes::{Departure, Departures, Route, Service, Target, View};
 use tokio::sync::Notify;
 
 use crate::answer_memory::AnswerMemory;
 use crate::client::Pool;
+use crate::fleet::Fleet;
 use crate::links::Links;
 use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
@@ -25,10 +24,6 @@
 /// Initial estimate of a route's latency, as a share of its latency objective.
 const INITIAL_LATENCY: f64 = 0.2;
 
-/// Least number of hosts by which shared limits are divided, so that a host that has not discovered
-/// the others yet does not use them up.
-const MIN_HOSTS: usize = 3;
-
 /// Lifecycle phase of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -48,14 +43,18 @@
     pub metrics: Metrics,
     /// Limits log lines on failed requests.
     pub failure_log: LogLimit,
+    /// Limits log lines on requests that were rejected before they were routed or read.
+    pub rejected_log: LogLimit,
     /// Limits log lines on requests without a route.
     pub unrouted_log: LogLimit,
     /// Limits log lines on queries with missing parts.
     pub incomplete_log: LogLimit,
+    /// Limits log lines on targets in trouble.
+    pub target_log: LogLimit,
     /// Limits log lines on queries that are passed to another gatherer.
     pub moved_log: LogLimit,
     pub view: RefCell<View>,
-    pub members: RefCell<Membership>,
+    pub fleet: Fleet,
     pub pool: Pool,
     /// Links to the hosts that gather queries.
     pub links: Links,
@@ -70,12 +69,7 @@
     /// Notified when requests in flight must be answered because the process is about to exit.
     pub grace_over: Notify,
     phase: Cell<Phase>,
-    /// Highest number of hosts that were live at the same time.
-    peak_hosts: Cell<usize>,
     departures: RefCell<Departures>,
-    gatherers: RefCell<Gatherers>,
-    /// Epoch of the membership from which the gatherers were designated.
-    epoch: Cell<u64>,
     services: RefCell<Map<Name, Balancer>>,
     latencies: RefCell<Map<Name, LatencyEstimator>>,
     splits: RefCell<Map<Name, Split>>,
@@ -96,11 +90,13 @@
             clock,
             metrics,
             failure_log: LogLimit::default(),
+            rejected_log: LogLimit::default(),
             unrouted_log: LogLimit::default(),
             incomplete_log: LogLimit::default(),
+            target_log: LogLimit::default(),
             moved_log: LogLimit::default(),
             view: RefCell::default(),
-            members: RefCell::new(members),
+            fleet: Fleet::new(members, name, home),
             pool: Pool::default(),
             links: Links::default(),
             answers: AnswerMemory::default(),
@@ -109,10 +105,7 @@
             stopping: Notify::new(),
             grace_over: Notify::new(),
             phase: Cell::new(Phase::Starting),
-            peak_hosts: Cell::new(MIN_HOSTS),
             departures: RefCell::default(),
-            gatherers: RefCell::new(Gatherers::new(name, home, fastrand::Rng::new())),
-            epoch: Cell::new(0),
             services: RefCell::default(),
             latencies: RefCell::default(),
             splits: RefCell::default(),
@@ -130,7 +123,7 @@
     /// Starts the shutdown.
     pub(crate) fn leave(&self) {
         self.phase.set(Phase::Leaving);
-        self.members.borrow_mut().leave(self.now());
+        self.fleet.members.borrow_mut().leave(self.now());
         self.stopping.notify_waiters();
     }
 
@@ -144,13 +137,12 @@
             by_service.entry(target.service.clone()).or_default().push(target.clone());
         }
         let shards = configuration.shards();
-        self.gatherers.borrow_mut().set(self.designated(&view, &shards));
-        self.epoch.set(self.members.borrow().epoch());
+        self.fleet.designate(&view, &shards);
         let data_centre = self.settings.borrow().data_centre.clone();
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| configuration.services.contains_key(name));
         for (name, service) in &configuration.services {
-            let share = self.limit_share(shards.contains(name));
+            let share = self.fleet.limit_share(shards.contains(name));
             let limits = self.shared_limits(share);
             let balancer = services
                 .entry(name.clone())
@@ -188,30 +180,9 @@
 
     /// Applies changes of the membership.
     pub(crate) fn update_members(&self) {
-        let epoch = self.members.borrow().epoch();
-        if epoch == self.epoch.get() {
-            return;
+        if self.fleet.update(self.now()) {
+            self.update();
         }
-        let live = self.members.borrow().live().len();
-        self.peak_hosts.set(self.peak_hosts.get().max(live));
-        self.update();
-    }
-
-    /// Hosts that gather the queries over these shards.
-    fn designated(&self, view: &View, shards: &Set<Name>) -> Vec<HostName> {
-        let services = &view.table().configuration().services;
-        let limits = shards.iter().filter_map(|s| services.get(s)).map(|s| s.connections);
-        let Some(connections) = limits.min() else { return Vec::new() };
-        let targets = view.usable().filter(|t| shards.contains(&t.service));
-        let centres: Set<Name> = targets.map(|t| t.data_centre.clone()).collect();
-        designate(&self.members.borrow().live(), self.peak_hosts.get(), &centres, connections)
-    }
-
-    /// Share of the limits on the targets of a service that this host may use.
-    fn limit_share(&self, is_shard: bool) -> f64 {
-        let gatherers = self.gatherers.borrow();
-        let count = if is_shard { gatherers.count() } else { 0 };
-        limit_share(gatherers.includes_own(), count, self.peak_hosts.get())
     }
 
     fn shared_limits(&self, share: f64) -> SharedLimits {
@@ -226,35 +197,11 @@
         known.unwrap_or(1)
     }
 
-    /// Whether this host gathers the queries of its callers itself.
-    pub(crate) fn gathers_own_queries(&self) -> bool {
-        self.gatherers.borrow().includes_own()
-    }
-
-    /// Runs `f` on the gatherers.
-    pub(crate) fn with_gatherers<T>(&self, f: impl FnOnce(&mut Gatherers) -> T) -> T {
-        f(&mut self.gatherers.borrow_mut())
-    }
-
-    /// Chooses a gatherer that is not in `tried` for a query.
-    pub(crate) fn choose_gatherer(&self, tried: &[Name]) -> Option<HostName> {
-        let members = self.members.borrow();
-        let is_suspect = |name: &Name| members.liveness(name) != Some(Liveness::Alive);
-        self.gatherers.borrow_mut().choose(tried, is_suspect, self.now())
-    }
-
-    /// Other data centres with gatherers.
-    pub(crate) fn partner_centres(&self) -> Set<Name> {
-        let home = &self.settings.borrow().data_centre;
-        let gatherers = self.gatherers.borrow();
-        gatherers.centres().filter(|c| *c != home).cloned().collect()
-    }
-
-    /// Chooses a gatherer of another data centre for a part of a query.
-    pub(crate) fn choose_partner(&self, data_centre: &str) -> Option<HostName> {
-        let members = self.members.borrow();
-        let is_sound = |name: &Name| members.liveness(name) == Some(Liveness::Alive);
-        self.gatherers.borrow_mut().choose_in(data_centre, is_sound, self.now())
+    /// Logs that a target is in trouble.
+    pub(crate) fn log_target(&self, target: &Name, trouble: &str) {
+        if let Some(suppressed) = self.target_log.admit(self.now()) {
+            log::info!("event=target_{trouble} target={target} suppressed={suppressed}");
+        }
     }
 
     /// Logs that a gatherer did not gather a query that was passed to it.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `dialect`: platform-specific names on the wire and encodings
 //! - `serve`: starts and stops a host
 //! - `host`: state that the modules share
+//! - `fleet`: the other hosts, and which of them gather queries
 //! - `caller`: connections of callers
 //! - `request`: a request of a caller, from routing to the answer
 //! - `query`: a query over several shards
@@ -48,6 +49,7 @@
 mod delegate;
 mod dialect;
 mod error;
+mod fleet;
 mod frames;
 mod gather_server;
 mod host;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -24,6 +24,7 @@
     connections: Counter<u64>,
     target_failures: Counter<u64>,
     refusals: Counter<u64>,
+    rejections: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
 }
@@ -40,6 +41,7 @@
             connections: meters.counter("target_connections"),
             target_failures: meters.counter("target_failures"),
             refusals: meters.counter("refusals"),
+            rejections: meters.counter("rejections"),
             store_calls: meters.counter("store_calls"),
             store_failures: meters.counter("store_failures"),
             meters,
@@ -82,6 +84,11 @@
         self.refusals.add(1, &[label("route", route), KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that was rejected before it was routed or read.
+    pub(crate) fn count_rejection(&self, reason: &'static str) {
+        self.rejections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an answered call to the store.
     pub(crate) fn count_store_call(&self) {
         self.store_calls.add(1, &[]);
--- a/crates/forward/src/partner.rs
+++ b/crates/forward/src/partner.rs
@@ -44,7 +44,9 @@
         centre: &str,
         shards: Vec<usize>,
     ) -> Result<Self, Vec<usize>> {
-        let Some(gatherer) = host.choose_partner(centre) else { return Err(shards) };
+        let Some(gatherer) = host.fleet.choose_partner(centre, host.now()) else {
+            return Err(shards);
+        };
         let services: Vec<Name> = shards.iter().map(|s| query.service(*s).clone()).collect();
         let now = host.now();
         let attempts = query.call.route.attempts;
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -85,7 +85,7 @@
             () = peers.host.slow_changed.notified() => slow = true,
             () = peers.host.departed.notified() => departed = true,
             _ = ticks.tick() => {
-                let outgoing = peers.host.members.borrow_mut().tick(peers.host.now());
+                let outgoing = peers.host.fleet.members.borrow_mut().tick(peers.host.now());
                 peers.send(outgoing).await;
                 peers.repair();
                 peers.host.update_members();
@@ -103,9 +103,9 @@
         if slow {
             last_slow = now;
         }
-        if changed || slow || departed || peers.host.members.borrow_mut().take_urgent() {
+        if changed || slow || departed || peers.host.fleet.members.borrow_mut().take_urgent() {
             gossiped = own;
-            let outgoing = peers.host.members.borrow_mut().gossip(now, URGENT_FANOUT);
+            let outgoing = peers.host.fleet.members.borrow_mut().gossip(now, URGENT_FANOUT);
             peers.send(outgoing).await;
         }
     }
@@ -158,7 +158,7 @@
             }
         };
         let now = self.host.now();
-        let outgoing = self.host.members.borrow_mut().receive(source, &datagram, now);
+        let outgoing = self.host.fleet.members.borrow_mut().receive(source, &datagram, now);
         self.send(outgoing).await;
         for departure in topic::<Vec<Departure>>(&datagram, DEPARTURE_TOPIC).unwrap_or_default() {
             self.host.record_departure(&departure.target, departure.born);
@@ -209,11 +209,13 @@
     /// Fetches the hosts of a data centre from a peer that has newer state of them (anti-entropy).
     fn repair(self: &Rc<Self>) {
         let now = self.host.now();
-        let Some(repair) = self.host.members.borrow_mut().repair(now) else { return };
+        let Some(repair) = self.host.fleet.members.borrow_mut().repair(now) else { return };
         let host = self.host.clone();
         spawn_local(async move {
             match call(repair.peer, &PeerRequest::Peers(repair.data_centre)).await {
-                Ok(PeerReply::Peers(peers)) => host.members.borrow_mut().merge(&peers, host.now()),
+                Ok(PeerReply::Peers(peers)) => {
+                    host.fleet.members.borrow_mut().merge(&peers, host.now());
+                }
                 Ok(PeerReply::View(_)) => log::warn!("event=peers_refused peer={}", repair.peer),
                 Err(e) => log::debug!("event=peers_not_learnt error=\"{e}\""),
             }
@@ -238,11 +240,15 @@
 
 /// Merges the changes of another host into the view.
 fn merge_delta(host: &Host, peer: SocketAddr, delta: Delta) {
-    let version = delta.configuration.as_ref().map_or(0, |c| c.version);
-    let targets = delta.targets.len();
+    let before = host.view.borrow().version();
+    let (targets, orders) = (delta.targets.len(), delta.orders.len());
     let changed = host.view.borrow_mut().merge(delta, host.now());
     if changed {
-        log::info!("event=view_learnt peer={peer} version={version} targets={targets}");
+        let version = host.view.borrow().version();
+        log::info!(
+            "event=view_learnt peer={peer} version={before} new_version={version} \
+             targets={targets} orders={orders}"
+        );
         host.update();
     }
 }
@@ -348,7 +354,7 @@
         }
         PeerRequest::WholeView => PeerReply::View(Box::new(host.view.borrow().whole(now))),
         PeerRequest::Peers(data_centre) => {
-            PeerReply::Peers(host.members.borrow().view(&data_centre, now))
+            PeerReply::Peers(host.fleet.members.borrow().view(&data_centre, now))
         }
     };
     write(&mut stream, &answer, peer).await
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -264,7 +264,7 @@
 
 /// Divides the shards of a query among data centres, if there are gatherers in others.
 fn division(host: &Host, query: &Query<'_>, asked: &[usize]) -> Division {
-    let partners = host.partner_centres();
+    let partners = host.fleet.partner_centres();
     if partners.is_empty() {
         return Division { own: asked.to_vec(), others: Vec::new() };
     }
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -50,6 +50,9 @@
         let age = host.view.borrow().age(host.now());
         let fresh_for = age.map_or(Duration::ZERO, |age| max_staleness.saturating_sub(age));
         if !fresh_for.is_zero() && !reader.removals.needs_listing(host.now()) {
+            if reader.backoff.succeeded() {
+                log::info!("event=store_regained source=hosts");
+            }
             tokio::time::sleep(fresh_for.min(MAX_SLEEP)).await;
             continue;
         }
@@ -81,7 +84,8 @@
         }
         self.removals.store_up(self.host.now());
         if self.backoff.succeeded() {
-            log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
+            let synced = self.host.view.borrow().synced();
+            log::info!("event=store_regained source=store synced={synced}");
         }
         Ok(())
     }
@@ -269,7 +273,7 @@
     /// Age of the view at which this host reads the store.
     fn max_staleness(&self) -> Duration {
         let settings = self.settings.borrow();
-        let live = self.members.borrow().live();
+        let live = self.fleet.members.borrow().live();
         let own = &settings.name;
         let before = live.iter().filter(|h| h.name < *own);
         let (mut rank, mut local_rank) = (0, 0);
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 use sapphirerack_catalogue::Name;
 use sapphirerack_http::{BodyError, read_body};
@@ -67,10 +68,11 @@
     start: Instant,
 ) -> Reply {
     let table = host.view.borrow().table().clone();
+    let (head, body) = request.into_parts();
     if table.configuration().version == 0 {
+        log_rejected(host, &head, 503, "no configuration yet");
         return unavailable(STARTUP_RETRY_AFTER);
     }
-    let (head, body) = request.into_parts();
     let name = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let name = name.or(head.uri.authority().map(|a| a.as_str())).unwrap_or_default();
     let Some(route) = table.find(name, head.uri.path()).cloned() else {
@@ -84,13 +86,20 @@
         return empty(404);
     };
     let Some(id) = head.headers.get(&host.dialect.headers.attempt_id).cloned() else {
+        log_rejected(host, &head, 400, "no attempt id");
         return empty(400);
     };
     let limit = table.configuration().limits.body;
     let body = match read_body(body, limit).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => return empty(413),
-        Err(BodyError::Broken) => return empty(400),
+        Err(BodyError::TooLarge) => {
+            log_rejected(host, &head, 413, "body too large");
+            return empty(413);
+        }
+        Err(BodyError::Broken) => {
+            log_rejected(host, &head, 400, "body broken");
+            return empty(400);
+        }
     };
     let timeout = timeout(host, &head.headers, &route);
     let call = Rc::new(Call {
@@ -108,6 +117,19 @@
     reply
 }
 
+/// Counts and logs a request that was rejected before it was routed or read.
+fn log_rejected(host: &Host, head: &Parts, status: u16, reason: &'static str) {
+    host.metrics.count_rejection(reason);
+    let Some(suppressed) = host.rejected_log.admit(host.now()) else { return };
+    let id = head.headers.get(&host.dialect.headers.attempt_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
+    log::info!(
+        "event=request_rejected id={id} path=\"{}\" status={status} reason=\"{reason}\" \
+         suppressed={suppressed}",
+        head.uri.path()
+    );
+}
+
 /// Time until the request must be answered: the caller's or the route's timeout, whichever is
 /// shorter, less margins.
 fn timeout(host: &Host, headers: &HeaderMap, route: &Route) -> Duration {
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -119,7 +119,7 @@
 fn reload_settings(host: &Host, settings: Settings) {
     let changed = *host.settings.borrow() != settings;
     log::info!("event=reload changed={changed}");
-    host.members.borrow_mut().set_seeds(settings.seed_hosts());
+    host.fleet.members.borrow_mut().set_seeds(settings.seed_hosts());
     let Settings { seeds, bounds, stop, queries, .. } = settings;
     let mut own = host.settings.borrow_mut();
     *own = Settings { seeds, bounds, stop, queries, ..own.clone() };
