Apply the removals of targets that leave together, if the store was read just before

One read removed more than a fifth of the usable targets, which the removal guard took for an outage of the store; it held the removals for 2.3 s, and with the time to the read two requests reached a target 3.06 and 3.30 s after it had left (bound 3 s). Change: an outage is inferred only if no host has read the store for two seconds; entries don't expire in a shorter one.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -115,7 +115,7 @@
             synced = synced.min(found.revision);
             events.extend(found.events);
         }
-        self.record_removals(&events);
+        self.record_removals(&events, start);
         let mut changed = false;
         for event in events {
             changed |= self.apply(event);
@@ -128,12 +128,13 @@
     }
 
     /// Records how many usable targets the events remove.
-    fn record_removals(&mut self, events: &[Event]) {
+    fn record_removals(&mut self, events: &[Event], start: Instant) {
         let view = self.host.view.borrow();
         let usable: Set<&Name> = view.usable().map(|t| &t.id).collect();
         let removed = events.iter().filter(|e| e.value.is_none()).map(|e| self.read_item(e));
         let is_usable = |item: &Item| matches!(item, Item::Target(id, _) if usable.contains(id));
-        self.removals.record_removals(removed.filter(is_usable).count(), usable.len());
+        let count = removed.filter(is_usable).count();
+        self.removals.record_removals(count, usable.len(), view.age(start));
     }
 
     async fn list_all(&mut self, start: Instant) -> Result<()> {
--- a/crates/routes/src/lapse.rs
+++ b/crates/routes/src/lapse.rs
@@ -5,7 +5,9 @@
 //! held back; then the store is listed in full, and targets still missing are removed.
 //!
 //! A host that did not read the store during the outage infers it from the removals: so many
-//! targets do not disappear between two reads of a store that is up.
+//! targets rarely disappear between two reads of a store that is up. It does so only if no host has
+//! read the store for as long as an outage takes in which entries expire. Otherwise the targets have
+//! left together, as when an index is cut into another set of shards.
 
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,9 @@
 /// inferred.
 const MASS_REMOVAL: (usize, f64) = (3, 0.2);
 
+/// Shortest outage in which entries expire: less than the time that targets have to renew them.
+const MIN_OUTAGE: Duration = Duration::from_secs(2);
+
 /// Decides whether removals are applied or held back.
 #[derive(Debug, Default)]
 pub struct RemovalGuard {
@@ -32,10 +37,12 @@
         self.down = true;
     }
 
-    /// Records how many of the usable targets one read removes.
-    pub fn record_removals(&mut self, count: usize, usable: usize) {
+    /// Records how many of the usable targets one read removes; `age` is the time since a host last
+    /// read the store, `None` if none is known to have.
+    pub fn record_removals(&mut self, count: usize, usable: usize, age: Option<Duration>) {
         let (least, share) = MASS_REMOVAL;
-        if count >= least && count as f64 > share * usable as f64 {
+        let was_read = age.is_some_and(|age| age < MIN_OUTAGE);
+        if !was_read && count >= least && count as f64 > share * usable as f64 {
             self.down = true;
         }
     }
