Split the calls between hosts and the partial queries from larger files

A host whose own reads of the store fail would have reset its backoff each time that other hosts covered for it. Ruled out: nothing. Change: peer_calls.rs and part_query.rs; Balancer::set_connections; event=store_covered, logged once.

--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -10,8 +10,9 @@
 
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
+use sapphirerack_policy::Host as HostName;
 use sapphirerack_protocol::{GatherQuery, GatherReply, GatherScope};
-use sapphirerack_routes::{Action, Route};
+use sapphirerack_routes::{Action, Gather, Route};
 
 use crate::ask::Attempts;
 use crate::host::Host;
@@ -68,7 +69,7 @@
     let Query { call, aim, levels, shards: gather } = query;
     let left = |at: Instant| at.saturating_duration_since(now).saturating_sub(REPLY_TIME);
     let headers = call.headers.iter();
-    let action = Action::Gather(sapphirerack_routes::Gather { shards, ..(*gather).clone() });
+    let action = Action::Gather(Gather { shards, ..(*gather).clone() });
     Box::new(GatherQuery {
         scope,
         route: Route { action, attempts, ..(*call.route).clone() },
@@ -96,7 +97,7 @@
     /// Sends a query to a gatherer; `None` if that is not possible.
     pub(crate) fn send(
         host: &Rc<Host>,
-        gatherer: &sapphirerack_policy::Host,
+        gatherer: &HostName,
         message: Box<GatherQuery>,
     ) -> Option<Self> {
         let name = gatherer.name.clone();
--- a/crates/forward/src/gather_server.rs
+++ b/crates/forward/src/gather_server.rs
@@ -20,8 +20,9 @@
 use crate::client::set_options;
 use crate::frames::{Outbox, outbox, read_frames, write_frames};
 use crate::host::{Host, Phase};
+use crate::part_query::gather_parts;
 use crate::parts::Parts;
-use crate::query::{Gathered, Query, gather, gather_parts};
+use crate::query::{Gathered, Query, gather};
 use crate::{Error, Result};
 
 /// Queries of one link that are being gathered; dropping it aborts them.
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -148,7 +148,7 @@
                 .entry(name.clone())
                 .or_insert_with(|| Balancer::new(limits, fastrand::Rng::new(), now));
             balancer.set_shared_limits(limits);
-            balancer.set_max_in_flight(max_connections(service, share));
+            balancer.set_connections(max_connections(service, share));
             let targets = by_service.remove(name).unwrap_or_default();
             balancer.update(&targets, &data_centre, service.cold_rate, now);
         }
@@ -193,7 +193,7 @@
 
     /// Most idle connections that this host keeps to each target of a service.
     pub(crate) fn max_idle(&self, service: &Name) -> usize {
-        let known = self.with_balancer(service, |b| b.max_connections());
+        let known = self.with_balancer(service, |b| b.connections());
         known.unwrap_or(1)
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 //! - `request`: a request of a caller, from routing to the answer
 //! - `query`: a query over several shards
 //! - `delegate`: passes a query to a gatherer
+//! - `part_query`: the part of a query that this host gathers for another
 //! - `partner`: a gatherer that gathers some of the parts of a query
 //! - `parts`: parts of a query, merged
 //! - `links`: connections to the gatherers
@@ -35,6 +36,7 @@
 //! - `store`: client of the store
 //! - `reader`: keeps the view up to date from the store
 //! - `peers`: gossip with other hosts
+//! - `peer_calls`: calls between hosts
 //! - `ready`: readiness and metrics
 //! - `metrics`: counters and histograms
 //! - `log_line`: the log, which never blocks
@@ -57,8 +59,10 @@
 mod log_limit;
 mod log_line;
 mod metrics;
+mod part_query;
 mod partner;
 mod parts;
+mod peer_calls;
 mod peers;
 mod query;
 mod reader;
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -10,24 +10,17 @@
 
 use sapphirerack_policy::Outgoing;
 use sapphirerack_policy::direct::SlowReport;
-use sapphirerack_protocol::{
-    Datagram, FRAME_LIMIT, PeerReply, PeerRequest, Topic, from_body, to_frame,
-};
+use sapphirerack_protocol::{Datagram, PeerReply, PeerRequest, Topic};
 use sapphirerack_routes::{Comparison, Delta, Departure, ViewSummary};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
-use crate::gather_server;
 use crate::host::Host;
-use crate::{Error, Result};
+use crate::peer_calls::call;
 
 /// Time between two gossip rounds.
 pub(crate) const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Timeout of a call to another host.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Timeout of a call to another host during startup, when many hosts may call it.
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -277,85 +270,3 @@
         pause = (pause * 2).min(MAX_STARTUP_PAUSE);
     }
 }
-
-async fn call(peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply> {
-    let exchange = async {
-        let stream = TcpStream::connect(peer).await;
-        let mut stream = stream.map_err(|e| Error::io("call host", peer, e))?;
-        write(&mut stream, request, peer).await?;
-        read(&mut stream, peer).await
-    };
-    let answered = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
-    answered.map_err(|_| Error::timeout("call host", peer))?
-}
-
-async fn write<T: serde::Serialize>(
-    stream: &mut TcpStream,
-    message: &T,
-    peer: SocketAddr,
-) -> Result<()> {
-    let frame = to_frame(message);
-    let frame = frame.map_err(|e| Error::malformed("write frame", peer, e.to_string()))?;
-    stream.write_all(&frame).await.map_err(|e| Error::io("write frame", peer, e))
-}
-
-async fn read<T: serde::de::DeserializeOwned>(
-    stream: &mut TcpStream,
-    peer: SocketAddr,
-) -> Result<T> {
-    let failed = |e| Error::io("read frame", peer, e);
-    let len = stream.read_u32_le().await.map_err(failed)? as usize;
-    if len > FRAME_LIMIT {
-        return Err(Error::malformed("read frame", peer, format!("{len} bytes")));
-    }
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).await.map_err(failed)?;
-    from_body(&body).map_err(|e| Error::malformed("read frame", peer, e.to_string()))
-}
-
-/// Serves requests of other hosts until the process ends.
-pub(crate) async fn accept(host: Rc<Host>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let host = host.clone();
-                spawn_local(async move {
-                    if let Err(e) = serve(&host, stream, peer).await {
-                        log::debug!("event=question_not_answered error=\"{e}\"");
-                    }
-                });
-            }
-            Err(e) => log::warn!("event=accept_failed error=\"{e}\""),
-        }
-    }
-}
-
-async fn serve(host: &Rc<Host>, mut stream: TcpStream, peer: SocketAddr) -> Result<()> {
-    let request = tokio::time::timeout(CALL_TIMEOUT, read(&mut stream, peer)).await;
-    let request = request.map_err(|_| Error::timeout("read frame", peer))??;
-    if let PeerRequest::Link = request {
-        return gather_server::serve(host, stream, peer).await;
-    }
-    let answered = tokio::time::timeout(CALL_TIMEOUT, reply(host, stream, request, peer)).await;
-    answered.map_err(|_| Error::timeout("write frame", peer))?
-}
-
-async fn reply(
-    host: &Host,
-    mut stream: TcpStream,
-    request: PeerRequest,
-    peer: SocketAddr,
-) -> Result<()> {
-    let now = host.now();
-    let answer = match request {
-        PeerRequest::Link => return Ok(()),
-        PeerRequest::View(other) => {
-            PeerReply::View(Box::new(host.view.borrow().delta(&other, now)))
-        }
-        PeerRequest::WholeView => PeerReply::View(Box::new(host.view.borrow().whole(now))),
-        PeerRequest::Peers(data_centre) => {
-            PeerReply::Peers(host.fleet.members.borrow().view(&data_centre, now))
-        }
-    };
-    write(&mut stream, &answer, peer).await
-}
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -126,53 +126,6 @@
     progress.parts.into_answer()
 }
 
-/// Gathers parts for another host, which has those of the other shards.
-///
-/// The parts that are in at the latency objective, or when no more can come, are passed to `emit`
-/// together, and each later one alone; the flag tells whether no more follow.
-pub(crate) async fn gather_parts(
-    host: &Rc<Host>,
-    query: Query<'_>,
-    attempts: &Attempts,
-    emit: impl Fn(&mut Parts, bool),
-) {
-    let Query { call, shards, aim, .. } = query;
-    let mut outstanding: Vec<usize> = (0..shards.shards.len()).collect();
-    let query_shard = |shard: usize| async move {
-        let targets = call.route.attempts;
-        (shard, send_to_service(host, call, query.service(shard), targets, attempts).await)
-    };
-    let mut in_flight: FuturesUnordered<_> =
-        outstanding.iter().map(|shard| query_shard(*shard)).collect();
-    let mut parts = Parts::new(shards.top);
-    let mut is_late = false;
-    while !in_flight.is_empty() {
-        let until = if is_late { call.deadline } else { aim };
-        match tokio::time::timeout_at(until.into(), in_flight.next()).await {
-            Ok(Some((shard, outcome))) => {
-                outstanding.retain(|s| *s != shard);
-                record_load(host, query.service(shard), outcome.as_ref(), aim);
-                if let Some((found, body)) = outcome.and_then(|o| into_part(host, shard, o)) {
-                    parts.add(vec![found], &body);
-                }
-                if is_late {
-                    emit(&mut parts, in_flight.is_empty());
-                }
-            }
-            Ok(None) => break,
-            Err(_) if is_late => break,
-            Err(_) => {
-                is_late = true;
-                let now = host.now();
-                let late = outstanding.iter().map(|shard| query.service(*shard));
-                late.for_each(|service| record_admission(host, service, false, now));
-                emit(&mut parts, false);
-            }
-        }
-    }
-    emit(&mut parts, true);
-}
-
 /// Progress of a query.
 struct Progress {
     parts: Parts,
@@ -302,7 +255,7 @@
 }
 
 /// Updates the admission control of a shard from the outcome of its request.
-fn record_load(host: &Host, service: &Name, outcome: Option<&Outcome>, aim: Instant) {
+pub(crate) fn record_load(host: &Host, service: &Name, outcome: Option<&Outcome>, aim: Instant) {
     let now = host.now();
     match outcome {
         Some(outcome) if outcome.is_success() => record_admission(host, service, now < aim, now),
@@ -314,7 +267,7 @@
     }
 }
 
-fn record_admission(host: &Host, service: &Name, in_time: bool, now: Instant) {
+pub(crate) fn record_admission(host: &Host, service: &Name, in_time: bool, now: Instant) {
     host.with_balancer(service, |b| b.admission().record(in_time, now));
 }
 
@@ -336,7 +289,7 @@
 }
 
 /// The part that a successful answer holds.
-fn into_part(host: &Host, shard: usize, outcome: Outcome) -> Option<(FoundPart, Bytes)> {
+pub(crate) fn into_part(host: &Host, shard: usize, outcome: Outcome) -> Option<(FoundPart, Bytes)> {
     if !outcome.is_success() {
         return None;
     }
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -35,6 +35,7 @@
         removals: RemovalGuard::default(),
         backoff: ReadBackoff::default(),
         missed_changes: true,
+        covered: false,
     };
     if !host.is_seed() {
         // Few hosts wait much less than the others; these learn the view from them.
@@ -50,8 +51,9 @@
         let age = host.view.borrow().age(host.now());
         let fresh_for = age.map_or(Duration::ZERO, |age| max_staleness.saturating_sub(age));
         if !fresh_for.is_zero() && !reader.removals.needs_listing(host.now()) {
-            if reader.backoff.succeeded() {
-                log::info!("event=store_regained source=hosts");
+            if reader.backoff.is_failing() && !reader.covered {
+                reader.covered = true;
+                log::info!("event=store_covered by=hosts");
             }
             tokio::time::sleep(fresh_for.min(MAX_SLEEP)).await;
             continue;
@@ -70,6 +72,8 @@
     backoff: ReadBackoff,
     /// Whether changes since the last read may have been missed.
     missed_changes: bool,
+    /// Whether other hosts have read the store since it was lost to this one.
+    covered: bool,
 }
 
 impl Reader {
@@ -84,8 +88,8 @@
         }
         self.removals.store_up(self.host.now());
         if self.backoff.succeeded() {
-            let synced = self.host.view.borrow().synced();
-            log::info!("event=store_regained source=store synced={synced}");
+            self.covered = false;
+            log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
         }
         Ok(())
     }
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -14,7 +14,9 @@
 
 use crate::host::Host;
 use crate::metrics::Metrics;
-use crate::{Dialect, Error, Result, Settings, caller, from_text, peers, reader, ready};
+use crate::{
+    Dialect, Error, Result, Settings, caller, from_text, peer_calls, peers, reader, ready,
+};
 
 /// Time between two checks of the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -58,7 +60,7 @@
     let host = Rc::new(Host::new(settings, dialect, clock, Metrics::new()?, members));
     let callers = spawn_local(caller::accept(host.clone(), callers));
     spawn_local(ready::accept(host.clone(), readiness));
-    spawn_local(peers::accept(host.clone(), hosts));
+    spawn_local(peer_calls::accept(host.clone(), hosts));
     spawn_local(peers::run(host.clone(), datagrams));
     spawn_local(reader::run(host.clone()));
     spawn_local(watch_settings(host.clone(), path.to_owned(), reload));
--- a/crates/policy/src/direct/balance.rs
+++ b/crates/policy/src/direct/balance.rs
@@ -126,13 +126,13 @@
 
     /// Sets the number of connections to each target that this host may use, and with it the most
     /// requests that it may have in flight at one target.
-    pub fn set_max_in_flight(&mut self, connections: usize) {
+    pub fn set_connections(&mut self, connections: usize) {
         self.connections = connections;
         self.request_limit = connections.max(MIN_IN_FLIGHT);
     }
 
     /// Number of connections to each target that this host may use.
-    pub fn max_connections(&self) -> usize {
+    pub fn connections(&self) -> usize {
         self.connections
     }
 
--- a/crates/policy/tests/direct_support/mod.rs
+++ b/crates/policy/tests/direct_support/mod.rs
@@ -35,6 +35,6 @@
 pub fn balancer_of(targets: &[Arc<Target>], limits: SharedLimits, now: Instant) -> Balancer {
     let mut balancer = Balancer::new(limits, fastrand::Rng::with_seed(7), now);
     balancer.update(targets, "here", 0.0, now);
-    balancer.set_max_in_flight(4);
+    balancer.set_connections(4);
     balancer
 }
