Explain a request from the logs of all hosts

Cause: with gatherers, the line that says why a query lacked parts is on another host than the one that the caller had; at 295 hosts nobody finds it by hand. Ruled out: a trace id of our own: the caller's attempt id goes along already.

--- a/crates/sapphirerack/src/command.rs
+++ b/crates/sapphirerack/src/command.rs
@@ -4,12 +4,13 @@
 
 use crate::client::Client;
 use crate::error::{Error, Result};
-use crate::{apply, check, forward, get, member, moves, serve, status};
+use crate::{apply, check, explain, forward, get, member, moves, serve, status};
 
-const COMMANDS: [&Command; 13] = [
+const COMMANDS: [&Command; 14] = [
     &serve::COMMAND,
     &forward::COMMAND,
     &check::COMMAND,
+    &explain::COMMAND,
     &apply::COMMAND,
     &get::COMMAND,
     &status::COMMAND,
@@ -60,6 +61,11 @@
         self.matches.opt_defined(option).then(|| self.matches.opt_str(option)).flatten()
     }
 
+    /// Values of an option that may be repeated.
+    pub(crate) fn values(&self, option: &str) -> Vec<String> {
+        self.matches.opt_strs(option)
+    }
+
     /// Client of the entry host that `--host` names.
     ///
     /// # Errors
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -6,7 +6,7 @@
 //! # Modules
 //!
 //! - `command`: the commands, their options and help
-//! - `serve`, `forward`, `check`, `apply`, `get`, `status`, `moves`, `member`: the commands
+//! - `serve`, `forward`, `check`, `explain`, `apply`, `get`, `status`, `moves`, `member`: the commands
 //! - `client`: HTTP client of an entry host's operator API
 //! - `output`: tables and JSON on standard output
 //! - `error`: errors and their exit codes
@@ -16,6 +16,7 @@
 mod client;
 mod command;
 mod error;
+mod explain;
 mod forward;
 mod get;
 mod member;
--- a/crates/sapphirerack/tests/command_line.rs
+++ b/crates/sapphirerack/tests/command_line.rs
@@ -130,3 +130,42 @@
         assert!(message.contains(expected), "{message}");
     }
 }
+
+/// Log lines of three hosts, as a collector joins them, out of order.
+const LOG: &str = r#"
+12.9 edge-1 time=2026-01-01T00:00:12.900Z level=WARN event=request_failed id=q1 status=502 reason="parts=8/10" targets="i-1:no_answer,i-2:503" suppressed=0
+12.8 edge-1 time=2026-01-01T00:00:12.800Z level=INFO event=query_moved id=q1 gatherer=edge-2 reason="not accepted" suppressed=0
+11.0 edge-1 time=2026-01-01T00:00:11.000Z level=INFO event=host_lost host=edge-2 suppressed=0
+11.5 edge-3 time=2026-01-01T00:00:11.500Z level=INFO event=target_slow target=i-1 suppressed=0
+11.6 edge-3 time=2026-01-01T00:00:11.600Z level=INFO event=target_slow target=i-9 suppressed=0
+13.0 edge-3 time=2026-01-01T00:00:13.000Z level=INFO event=target_gone target=i-2 revision=7
+12.7 edge-1 time=2026-01-01T00:00:12.700Z level=WARN event=request_failed id=q10 status=504 reason="deadline" targets="" suppressed=0
+"#;
+
+#[test]
+fn explain_prints_a_request_with_the_states_that_decided_it() {
+    let path = write_temp("explain.log", LOG);
+
+    let output = run(&["explain", "--log", path.to_str().unwrap(), "q1"]);
+
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(exit_code(&output), 0);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let words =
+        ["host_lost host=edge-2", "target_slow target=i-1", "query_moved", "request_failed"];
+    assert_eq!(text.lines().count(), words.len(), "{text}");
+    for (line, word) in text.lines().zip(words) {
+        assert!(line.contains(word), "{line}");
+    }
+}
+
+#[test]
+fn explain_of_an_unknown_request_fails() {
+    let path = write_temp("explain-none.log", LOG);
+
+    let output = run(&["explain", "--log", path.to_str().unwrap(), "q"]);
+
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(exit_code(&output), 3);
+    assert!(stderr(&output).contains("no line names"));
+}
