Let no small machine gather where large ones are left elsewhere

At 100 each data centre has one large machine, and the least number of two made a machine of 0.12 cores the second gatherer, which took half of the data centre's queries. The same follows on the grown sites when one of two large machines is down. Ruled out: choosing by weight: a fifth of the queries would still go to the small one and be late. Change: a gatherer has at least half the capacity of the largest machine of all live hosts; a data centre without one is served by the others.

--- a/crates/policy/src/direct/gatherers.rs
+++ b/crates/policy/src/direct/gatherers.rs
@@ -27,10 +27,11 @@
 /// Part of the shared limits that is divided among all hosts, for queries that no gatherer takes.
 const COMMON_SHARE: f64 = 0.25;
 
-/// Least capacity of a gatherer, relative to the largest machine of its data centre.
+/// Least capacity of a gatherer, relative to the largest machine. A data centre without such a
+/// machine is served by the others.
 const MIN_CAPACITY: f64 = 0.5;
 
-/// Least number of gatherers in a data centre that has so many hosts.
+/// Least number of gatherers in a data centre that has so many hosts of that capacity.
 const MIN_GATHERERS: usize = 2;
 
 /// Time for which a gatherer is avoided after it failed; doubles with each further failure.
@@ -55,19 +56,20 @@
     let each = (total / centres.len() as f64) as usize;
     let mut centres: Vec<&Name> = centres.iter().collect();
     centres.sort();
-    let local = |centre: &Name| -> Vec<Host> {
-        hosts.iter().filter(|h| h.data_centre == *centre).cloned().collect()
+    let largest = hosts.iter().map(|h| h.capacity).max().unwrap_or_default();
+    let least = (f64::from(largest) * MIN_CAPACITY) as u32;
+    let eligible = |centre: &Name| -> Vec<Host> {
+        let local = hosts.iter().filter(|h| h.data_centre == *centre);
+        local.filter(|h| h.capacity >= least).cloned().collect()
     };
-    centres.into_iter().flat_map(|c| largest(&local(c), each.max(MIN_GATHERERS))).collect()
+    centres.into_iter().flat_map(|c| first(&eligible(c), each.max(MIN_GATHERERS))).collect()
 }
 
 /// The hosts with the largest machines, `count` at most.
-fn largest(hosts: &[Host], count: usize) -> Vec<Host> {
+fn first(hosts: &[Host], count: usize) -> Vec<Host> {
     let mut ranked = rank(RANKING_KEY, hosts, |h| h.name.as_bytes());
     ranked.sort_by_key(|h| std::cmp::Reverse(h.capacity));
-    let least = ranked.first().map_or(0.0, |h| f64::from(h.capacity) * MIN_CAPACITY);
-    let eligible = ranked.iter().take_while(|h| f64::from(h.capacity) >= least).count();
-    ranked.truncate(eligible.max(MIN_GATHERERS).min(count));
+    ranked.truncate(count);
     ranked
 }
 
--- a/crates/policy/tests/gatherers.rs
+++ b/crates/policy/tests/gatherers.rs
@@ -102,15 +102,36 @@
 }
 
 #[test]
-fn gatherer_that_died_is_replaced_by_the_next_largest_machine() {
+fn gatherer_that_died_is_replaced_by_one_of_the_same_size() {
+    let hosts: Vec<Host> = fleet().into_iter().filter(|h| *h.data_centre == *"a").collect();
+    let equal: Vec<Host> = hosts.into_iter().map(|h| Host { capacity: LARGE, ..h }).collect();
+    let before = designate(&equal, 295, &centres(&["a"]), 25);
+    let live: Vec<Host> = equal.into_iter().filter(|h| h.name != before[0].name).collect();
+
+    let after = designate(&live, 295, &centres(&["a"]), 25);
+
+    assert_eq!((before.len(), after.len()), (3, 3));
+    assert_eq!(names(&before[1..]), names(&after[..2]));
+}
+
+#[test]
+fn small_machine_does_not_replace_a_large_one() {
     let mut hosts = fleet();
     hosts.retain(|h| &*h.name != "a-0" && &*h.name != "a-1");
+    let one_left = designate(&hosts, 295, &centres(&["a", "b"]), CONNECTIONS);
+    hosts.retain(|h| &*h.name != "a-2");
+    let none_left = designate(&hosts, 295, &centres(&["a", "b"]), CONNECTIONS);
 
-    let designated = designate(&hosts, 295, &centres(&["a"]), CONNECTIONS);
+    assert_eq!(names(&one_left), ["a-2", "b-2", "b-0", "b-1"]);
+    assert!(none_left.iter().all(|h| *h.data_centre == *"b"), "they serve a's hosts as well");
+}
 
-    assert_eq!(designated.len(), 2);
-    assert_eq!(&*designated[0].name, "a-2");
-    assert_eq!(designated[1].capacity, SMALL);
+#[test]
+fn small_machines_gather_where_all_are_small() {
+    let mut hosts = fleet();
+    hosts.retain(|h| h.capacity == SMALL && *h.data_centre == *"a");
+
+    assert!(!designate(&hosts, 295, &centres(&["a"]), CONNECTIONS).is_empty());
 }
 
 #[test]
