--- a/crates/sapphirerack/src/explain.rs
+++ b/crates/sapphirerack/src/explain.rs
@@ -1,7 +1,7 @@
 //! `explain`: what the logs of forwarding hosts say of one request.
 //!
-//! The lines that carry the request's id come first to mind, but they name targets and hosts whose
-//! state decided the outcome. Lines on these shortly before are shown as well, all in order of time.
+//! The lines that carry the request's id name targets and hosts whose state decided the outcome. The
+//! latest lines on these are shown as well, all in order of time.
 
 use std::collections::BTreeSet;
 use std::io::{Read, stdin};
