Split what a gatherer has from the way to it, and limit the lines on targets that hold off

Cause: delegate.rs held the query on its way and what partners share; a field of three words; a target that repeats Retry-After could have filled the log. Ruled out: nothing. Change: delegated.rs; maybe_started; target_holds_off goes through the limited log of targets.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -86,10 +86,10 @@
         let (latency, slow_again) = host.with_balancer(&self.service, end).unwrap_or_default();
         if slow_again {
             host.slow_changed.notify_one();
-            host.log_target(&choice.target.id, "slow");
+            host.log_target(&choice.target.id, "slow", "seen=again");
         }
         if *ending == Ending::Unreached {
-            host.log_target(&choice.target.id, "unreached");
+            host.log_target(&choice.target.id, "unreached", "step=connect");
         }
         if *ending == Ending::Answered
             && let Some(latency) = latency
@@ -182,7 +182,7 @@
     match retry_after(value) {
         Some(time) => {
             let now = host.now();
-            log::info!("event=target_holds_off target={} ms={}", target.id, time.as_millis());
+            host.log_target(&target.id, "holds_off", &format!("ms={}", time.as_millis()));
             host.with_balancer(service, |b| b.hold_off(&target.id, time, now));
         }
         None => log::info!("event=retry_after_ignored target={} value={value:?}", target.id),
--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -6,28 +6,17 @@
 //! may repeat the request.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
-use sapphirerack_policy::Host as HostName;
-use sapphirerack_protocol::{GatherQuery, GatherReply, GatherScope};
-use sapphirerack_routes::{Action, Gather, Route};
+use sapphirerack_protocol::{GatherReply, GatherScope};
 
 use crate::ask::Attempts;
+use crate::delegated::{Delegated, accept_time, message};
 use crate::host::Host;
-use crate::links::SentQuery;
 use crate::query::{Gathered, Query, gather};
 
-/// Share of the time to the latency objective in which a gatherer must accept a query.
-const ACCEPT_SHARE: f64 = 0.3;
-
-/// Bounds of the time in which a gatherer must accept a query.
-const ACCEPT_BOUNDS: (Duration, Duration) = (Duration::from_millis(15), Duration::from_millis(60));
-
-/// Time from a gatherer's reply until this host has read it.
-const REPLY_TIME: Duration = Duration::from_millis(4);
-
 /// Time after the latency objective at which a gatherer without a reply must have accepted the
 /// query again.
 const REPLY_GRACE: Duration = Duration::from_millis(80);
@@ -44,121 +33,20 @@
     if host.fleet.gathers_own_queries() {
         return gather(host, query, attempts).await;
     }
-    let delegation = Delegation { host, query, tried: Vec::new(), may_have_started: false };
+    let delegation = Delegation { host, query, tried: Vec::new(), maybe_started: false };
     match delegation.run().await {
         Some(gathered) => gathered,
         None => gather(host, query, attempts).await,
     }
 }
 
-/// Time in which a gatherer must accept a query with that objective.
-pub(crate) fn accept_time(aim: Instant, now: Instant) -> Duration {
-    let (min, max) = ACCEPT_BOUNDS;
-    aim.saturating_duration_since(now).mul_f64(ACCEPT_SHARE).clamp(min, max)
-}
-
-/// The message that asks a gatherer for the shards `shards` of a query, at `attempts` targets of
-/// each at most.
-pub(crate) fn message(
-    query: &Query<'_>,
-    scope: GatherScope,
-    shards: Vec<Name>,
-    attempts: u32,
-    now: Instant,
-) -> Box<GatherQuery> {
-    let Query { call, aim, levels, shards: gather } = query;
-    let left = |at: Instant| at.saturating_duration_since(now).saturating_sub(REPLY_TIME);
-    let headers = call.headers.iter();
-    let action = Action::Gather(Gather { shards, ..(*gather).clone() });
-    Box::new(GatherQuery {
-        scope,
-        route: Route { action, attempts, ..(*call.route).clone() },
-        levels: *levels,
-        aim: left(*aim),
-        deadline: left(call.deadline),
-        method: call.method.to_string(),
-        path: call.uri.to_string(),
-        headers: headers.map(|(n, v)| (n.to_string(), v.as_bytes().to_vec())).collect(),
-        body: call.body.to_vec(),
-        attempt: call.id.as_bytes().to_vec(),
-    })
-}
-
-/// A query that a gatherer has; its end is recorded on drop.
-pub(crate) struct Delegated {
-    host: Rc<Host>,
-    gatherer: Name,
-    sent: SentQuery,
-    /// Whether the gatherer replied; `None` if the query was cancelled.
-    succeeded: Option<bool>,
-}
-
-impl Delegated {
-    /// Sends a query to a gatherer; `None` if that is not possible.
-    pub(crate) fn send(
-        host: &Rc<Host>,
-        gatherer: &HostName,
-        message: Box<GatherQuery>,
-    ) -> Option<Self> {
-        let name = gatherer.name.clone();
-        let route = message.route.name.clone();
-        match host.links.send(gatherer.address, message) {
-            Ok(sent) => {
-                host.fleet.with_gatherers(|g| g.start(&name));
-                host.metrics.count_delegated(&route);
-                Some(Self { host: host.clone(), gatherer: name, sent, succeeded: None })
-            }
-            Err(e) => {
-                log::warn!("event=query_not_sent error=\"{e}\"");
-                host.fleet.with_gatherers(|g| g.record_failure(&name, host.now()));
-                None
-            }
-        }
-    }
-
-    /// Name of the gatherer.
-    pub(crate) fn gatherer(&self) -> &Name {
-        &self.gatherer
-    }
-
-    /// Waits for the next reply; `None` if the link broke.
-    pub(crate) async fn reply(&mut self) -> Option<GatherReply> {
-        let reply = self.sent.reply().await;
-        self.succeeded = Some(reply.as_ref().is_some_and(|r| *r != GatherReply::Declined));
-        reply
-    }
-
-    /// How often the gatherer has accepted the query.
-    pub(crate) fn acceptances(&self) -> u32 {
-        self.sent.acceptances()
-    }
-
-    /// Whether the gatherer may have received the query.
-    pub(crate) fn may_have_arrived(&self) -> bool {
-        self.sent.may_have_arrived()
-    }
-
-    /// Records that the gatherer has not answered in time; later queries use a new link.
-    pub(crate) fn give_up(mut self) {
-        self.succeeded = Some(false);
-        self.sent.replace_link(&self.host.links);
-    }
-}
-
-impl Drop for Delegated {
-    fn drop(&mut self) {
-        let now = self.host.now();
-        self.host.fleet.with_gatherers(|g| g.end(&self.gatherer, self.succeeded, now));
-    }
-}
-
 /// A query on its way through one gatherer after another.
 struct Delegation<'a> {
     host: &'a Rc<Host>,
     query: Query<'a>,
     tried: Vec<Name>,
     /// Whether a gatherer may have started to gather it.
-    may_have_started: bool,
+    maybe_started: bool,
 }
 
 impl Delegation<'_> {
@@ -169,7 +57,7 @@
                 return Some(gathered);
             }
         }
-        self.may_have_started.then(unanswered)
+        self.maybe_started.then(unanswered)
     }
 
     /// Passes the query to a gatherer that was not tried; `None` if there is none.
@@ -179,7 +67,7 @@
             self.tried.push(gatherer.name.clone());
             let attempts = self.query.call.route.attempts;
             // A gatherer that was too slow to accept the query may have sent each part once.
-            let attempts = if self.may_have_started { (attempts - 1).max(1) } else { attempts };
+            let attempts = if self.maybe_started { (attempts - 1).max(1) } else { attempts };
             let shards = self.query.shards.shards.clone();
             let scope = GatherScope::Answer;
             let message = message(&self.query, scope, shards, attempts, self.host.now());
@@ -205,7 +93,7 @@
                     let is_accepted = delegated.acceptances() > 0;
                     let reason = if is_accepted { "no reply" } else { "not accepted" };
                     self.log_moved(delegated.gatherer(), reason);
-                    self.may_have_started = true;
+                    self.maybe_started = true;
                     delegated.give_up();
                     return is_accepted.then(unanswered);
                 }
@@ -229,10 +117,10 @@
                     Err(_) => Some(unanswered()),
                 }
             }
-            GatherReply::Refused { .. } if self.may_have_started => Some(unanswered()),
+            GatherReply::Refused { .. } if self.maybe_started => Some(unanswered()),
             GatherReply::Refused { retry_after } => Some(Gathered::Refused { retry_after }),
             GatherReply::Incomplete { parts, started } => {
-                let started = started || self.may_have_started;
+                let started = started || self.maybe_started;
                 Some(Gathered::Incomplete { parts: parts as usize, started })
             }
             GatherReply::Declined | GatherReply::Parts { .. } => {
@@ -245,7 +133,7 @@
     /// Handles the loss of the link; `None` if another gatherer is to be tried.
     fn lost(&mut self, delegated: &Delegated) -> Option<Gathered> {
         self.log_moved(delegated.gatherer(), "link lost");
-        self.may_have_started |= delegated.may_have_arrived();
+        self.maybe_started |= delegated.may_have_arrived();
         (delegated.acceptances() > 0).then(unanswered)
     }
 
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -198,9 +198,9 @@
     }
 
     /// Logs that a target is in trouble.
-    pub(crate) fn log_target(&self, target: &Name, trouble: &str) {
+    pub(crate) fn log_target(&self, target: &Name, trouble: &str, detail: &str) {
         if let Some(suppressed) = self.target_log.admit(self.now()) {
-            log::info!("event=target_{trouble} target={target} suppressed={suppressed}");
+            log::info!("event=target_{trouble} target={target} {detail} suppressed={suppressed}");
         }
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 //! - `request`: a request of a caller, from routing to the answer
 //! - `query`: a query over several shards
 //! - `delegate`: passes a query to a gatherer
+//! - `delegated`: a query that was passed to a gatherer
 //! - `part_query`: the part of a query that this host gathers for another
 //! - `partner`: a gatherer that gathers some of the parts of a query
 //! - `parts`: parts of a query, merged
@@ -49,6 +50,7 @@
 mod caller;
 mod client;
 mod delegate;
+mod delegated;
 mod dialect;
 mod error;
 mod fleet;
--- a/crates/forward/src/partner.rs
+++ b/crates/forward/src/partner.rs
@@ -6,7 +6,7 @@
 use sapphirerack_catalogue::Name;
 use sapphirerack_protocol::{FoundPart, GatherReply, GatherScope};
 
-use crate::delegate::{Delegated, accept_time, message};
+use crate::delegated::{Delegated, accept_time, message};
 use crate::host::Host;
 use crate::query::Query;
 
@@ -93,7 +93,7 @@
 
     /// Ends a partner that has failed; returns whether it may have sent requests to targets.
     pub(crate) fn fail(self, query: &Query<'_>, event: &PartnerEvent) -> bool {
-        let (reason, may_have_started) = match event {
+        let (reason, maybe_started) = match event {
             PartnerEvent::Reply(_) => ("declined", false),
             PartnerEvent::Lost => ("link lost", self.delegated.may_have_arrived()),
             PartnerEvent::NotAccepted => ("not accepted", true),
@@ -102,6 +102,6 @@
         if matches!(event, PartnerEvent::NotAccepted) {
             self.delegated.give_up();
         }
-        may_have_started
+        maybe_started
     }
 }
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -184,11 +184,11 @@
         let PartnerEvent::Reply(GatherReply::Parts { parts, body, shares, last }) = event else {
             let shards = std::mem::take(&mut partner.shards);
             let attempts = query.call.route.attempts;
-            let may_have_started = partner.fail(query, &event);
-            self.was_delegated |= may_have_started;
+            let maybe_started = partner.fail(query, &event);
+            self.was_delegated |= maybe_started;
             self.delegated.retain(|s| !shards.contains(s));
             self.own.extend(&shards);
-            let targets = if may_have_started { (attempts - 1).max(1) } else { attempts };
+            let targets = if maybe_started { (attempts - 1).max(1) } else { attempts };
             return Merged::Failed { shards, targets };
         };
         self.was_delegated = true;
