Keep a query within its route's targets when gatherers fail to accept it

After a gatherer that may have started a query, the next one got at least one target a shard, so that a route of one attempt, or a third gatherer, could exceed the targets that a request may run at; the rule stood in two places. A gatherer counted as started though no link to it was open. The last late part closed the reply twice; a broken link was removed in two ways. Change: policy::direct::targets_left decides in both places and may leave none; only a gatherer with an open link may have started; one emit closes a partial reply; Links::remove alone removes.

--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -10,6 +10,7 @@
 
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::Name;
+use sapphirerack_policy::direct::targets_left;
 use sapphirerack_protocol::{GatherReply, GatherScope};
 
 use crate::ask::Attempts;
@@ -33,7 +34,7 @@
     if host.fleet.gathers_own_queries() {
         return gather(host, query, attempts).await;
     }
-    let delegation = Delegation { host, query, tried: Vec::new(), maybe_started: false };
+    let delegation = Delegation { host, query, tried: Vec::new(), started: 0 };
     match delegation.run().await {
         Some(gathered) => gathered,
         None => gather(host, query, attempts).await,
@@ -45,8 +46,8 @@
     host: &'a Rc<Host>,
     query: Query<'a>,
     tried: Vec<Name>,
-    /// Whether a gatherer may have started to gather it.
-    maybe_started: bool,
+    /// Number of gatherers that may have started to gather it.
+    started: u32,
 }
 
 impl Delegation<'_> {
@@ -57,18 +58,20 @@
                 return Some(gathered);
             }
         }
-        self.maybe_started.then(unanswered)
+        self.is_started().then(unanswered)
     }
 
-    /// Passes the query to a gatherer that was not tried; `None` if there is none.
+    fn is_started(&self) -> bool {
+        self.started > 0
+    }
+
+    /// Passes the query to a gatherer that was not tried; `None` if there is none, or if those that
+    /// may have started it have used up its targets.
     fn start(&mut self) -> Option<Delegated> {
-        while self.tried.len() < MAX_GATHERERS {
+        let attempts = targets_left(self.query.call.route.attempts, self.started);
+        while attempts > 0 && self.tried.len() < MAX_GATHERERS {
             let gatherer = self.host.fleet.choose_gatherer(&self.tried, self.host.now())?;
             self.tried.push(gatherer.name.clone());
-            let attempts = self.query.call.route.attempts;
-            // A gatherer that was too slow to accept the query may have sent each part once.
-            let attempts =
-                if self.maybe_started { attempts.saturating_sub(1).max(1) } else { attempts };
             let shards = self.query.shards.shards.clone();
             let scope = GatherScope::Answer;
             let message = message(&self.query, scope, shards, attempts, self.host.now());
@@ -94,7 +97,7 @@
                     let is_accepted = delegated.acceptances() > 0;
                     let reason = if is_accepted { "no reply" } else { "not accepted" };
                     self.log_moved(delegated.gatherer(), reason);
-                    self.maybe_started = true;
+                    self.started += u32::from(delegated.may_have_arrived());
                     delegated.give_up();
                     return is_accepted.then(unanswered);
                 }
@@ -118,10 +121,10 @@
                     Err(_) => Some(unanswered()),
                 }
             }
-            GatherReply::Refused { .. } if self.maybe_started => Some(unanswered()),
+            GatherReply::Refused { .. } if self.is_started() => Some(unanswered()),
             GatherReply::Refused { retry_after } => Some(Gathered::Refused { retry_after }),
             GatherReply::Incomplete { parts, started } => {
-                let started = started || self.maybe_started;
+                let started = started || self.is_started();
                 Some(Gathered::Incomplete { parts: parts as usize, started })
             }
             GatherReply::Declined | GatherReply::Parts { .. } => {
@@ -134,7 +137,7 @@
     /// Handles the loss of the link; `None` if another gatherer is to be tried.
     fn lost(&mut self, delegated: &Delegated) -> Option<Gathered> {
         self.log_moved(delegated.gatherer(), "link lost");
-        self.maybe_started |= delegated.may_have_arrived();
+        self.started += u32::from(delegated.may_have_arrived());
         (delegated.acceptances() > 0).then(unanswered)
     }
 
--- a/crates/forward/src/links.rs
+++ b/crates/forward/src/links.rs
@@ -22,7 +22,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Links by the peer's address.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Links {
     open: Rc<RefCell<Map<SocketAddr, Rc<Link>>>>,
 }
@@ -81,16 +81,13 @@
             pending: RefCell::default(),
         });
         self.open.borrow_mut().insert(peer, link.clone());
-        let (links, running) = (self.open.clone(), link.clone());
+        let (links, running) = (self.clone(), link.clone());
         spawn_local(async move {
             if let Err(e) = run(&running, peer, queue).await {
                 log::debug!("event=link_broken error=\"{e}\"");
             }
             running.pending.borrow_mut().clear();
-            let mut links = links.borrow_mut();
-            if links.get(&peer).is_some_and(|l| Rc::ptr_eq(l, &running)) {
-                links.remove(&peer);
-            }
+            links.remove(&running);
         });
         link
     }
--- a/crates/forward/src/part_query.rs
+++ b/crates/forward/src/part_query.rs
@@ -39,8 +39,8 @@
                 if let Some((found, body)) = outcome.and_then(|o| into_part(host, shard, o)) {
                     parts.add(vec![found], &body);
                 }
-                if is_late {
-                    emit(&mut parts, in_flight.is_empty());
+                if is_late && !in_flight.is_empty() {
+                    emit(&mut parts, false);
                 }
             }
             Ok(None) => break,
--- a/crates/forward/src/partner.rs
+++ b/crates/forward/src/partner.rs
@@ -96,7 +96,7 @@
         let (reason, maybe_started) = match event {
             PartnerEvent::Reply(_) => ("declined", false),
             PartnerEvent::Lost => ("link lost", self.delegated.may_have_arrived()),
-            PartnerEvent::NotAccepted => ("not accepted", true),
+            PartnerEvent::NotAccepted => ("not accepted", self.delegated.may_have_arrived()),
         };
         self.host.log_moved(&query.call.id, self.delegated.gatherer(), reason);
         if matches!(event, PartnerEvent::NotAccepted) {
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -10,6 +10,7 @@
 use sapphirerack_catalogue::Name;
 use sapphirerack_policy::direct::{
     Balancer, Cutoff, Decision, Division, Selection, divide, draw, retry_after, select,
+    targets_left,
 };
 use sapphirerack_protocol::{FoundPart, GatherReply};
 use sapphirerack_routes::Gather;
@@ -187,9 +188,13 @@
             let maybe_started = partner.fail(query, &event);
             self.was_delegated |= maybe_started;
             self.delegated.retain(|s| !shards.contains(s));
-            self.own.extend(&shards);
-            let targets = if maybe_started { attempts.saturating_sub(1).max(1) } else { attempts };
-            return Merged::Failed { shards, targets };
+            return match targets_left(attempts, u32::from(maybe_started)) {
+                0 => Merged::Done,
+                targets => {
+                    self.own.extend(&shards);
+                    Merged::Failed { shards, targets }
+                }
+            };
         };
         self.was_delegated = true;
         let now = host.now();
--- a/crates/policy/src/direct/gatherers.rs
+++ b/crates/policy/src/direct/gatherers.rs
@@ -83,6 +83,13 @@
     own + COMMON_SHARE * common
 }
 
+/// Targets of each shard to which a query may still be sent, of the `attempts` that its route
+/// allows, after `started` hosts may have sent it to one each. A host that was too slow to accept a
+/// query is told to cancel it before it sends a hedge.
+pub fn targets_left(attempts: u32, started: u32) -> u32 {
+    attempts.saturating_sub(started)
+}
+
 /// A gatherer as one host sees it.
 #[derive(Clone, Debug)]
 struct Gatherer {
--- a/crates/policy/src/direct/mod.rs
+++ b/crates/policy/src/direct/mod.rs
@@ -32,7 +32,7 @@
 pub use cold::ColdLimit;
 pub use cutoff::{Cutoff, Decision};
 pub use division::{Division, divide};
-pub use gatherers::{CONNECTIONS_USED, Gatherers, designate, limit_share};
+pub use gatherers::{CONNECTIONS_USED, Gatherers, designate, limit_share, targets_left};
 pub use readers::{ReadBackoff, max_staleness};
 pub use replica::{Ending, Replica, SlowReport, Ticket};
 pub use retry::backoff;
--- a/crates/policy/tests/gatherers.rs
+++ b/crates/policy/tests/gatherers.rs
@@ -6,7 +6,7 @@
 
 use sapphirerack_catalogue::{Name, Set};
 use sapphirerack_policy::Host;
-use sapphirerack_policy::direct::{Gatherers, designate, limit_share};
+use sapphirerack_policy::direct::{Gatherers, designate, limit_share, targets_left};
 
 const LARGE: u32 = 500;
 const SMALL: u32 = 120;
@@ -156,6 +156,16 @@
     assert_eq!(limit_share(true, 0, 8), 1.0 / 8.0);
 }
 
+#[test]
+fn hosts_that_may_have_started_a_query_use_up_its_targets() {
+    for attempts in 1..4 {
+        let at_targets = (0..attempts).filter(|started| targets_left(attempts, *started) > 0);
+
+        assert_eq!(at_targets.count() as u32, attempts, "one target for each host");
+        assert_eq!(targets_left(attempts, attempts), 0, "no further host may send it");
+    }
+}
+
 #[test]
 fn gatherer_of_the_own_data_centre_is_preferred() {
     let now = Instant::now();
