--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -23,6 +23,8 @@
 /// A request of a client, and how it ended.
 #[derive(Clone, Debug)]
 pub struct Sent {
+    /// When it was sent.
+    pub at: Duration,
     /// Id of the attempt.
     pub attempt: String,
     /// Host that took it.
@@ -101,7 +103,7 @@
         "{method} {path} HTTP/1.1\r\nHost: {name}\r\nAttempt-Id: {attempt}\r\n\
          Time-Budget: {budget_ms}\r\n{length}\r\n{body}"
     );
-    record.line(format_args!("client sends {attempt} to {host}"));
+    let at = record.line(format_args!("client sends {attempt} to {host}"));
     let answer = http::exchange(host, text.as_bytes(), *budget + Duration::from_millis(200));
     let status = match answer {
         Ok(answer) => {
@@ -114,5 +116,5 @@
             0
         }
     };
-    Sent { attempt, host, status }
+    Sent { at, attempt, host, status }
 }
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -56,6 +56,7 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         slots: 3,
         work,
+        cold_crash: 0,
     }
 }
 
--- a/review/standins/src/searcher.rs
+++ b/review/standins/src/searcher.rs
@@ -1,7 +1,7 @@
 //! A stand-in of a searcher. It keeps its protocol: it echoes the attempt's id, signs its answers,
 //! refuses requests that expect another searcher, and announces itself in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     pub slots: u32,
     pub work: Duration,
+    /// Requests in one second at which it crashes while it is cold; 0 for none.
+    pub cold_crash: usize,
 }
 
 /// A request that reached a searcher and was not refused.
@@ -46,6 +48,8 @@
     spec: Spec,
     alive: AtomicBool,
     seals: AtomicU64,
+    /// Requests of the last second.
+    recent: Mutex<VecDeque<Duration>>,
     cold_until: Duration,
     streams: Mutex<HashMap<u64, TcpStream>>,
     record: Record,
@@ -79,6 +83,7 @@
             spec: self.spec.clone(),
             alive: AtomicBool::new(true),
             seals: AtomicU64::new(0),
+            recent: Mutex::default(),
             cold_until: self.record.now() + cold,
             streams: Mutex::default(),
             record: self.record.clone(),
@@ -120,12 +125,14 @@
 
     /// Crashes the process: its connections end and its address refuses new ones.
     pub fn crash(&mut self) {
-        let Some(incarnation) = self.current.take() else { return };
-        incarnation.alive.store(false, Ordering::SeqCst);
-        for stream in incarnation.streams.lock().unwrap().values() {
-            let _ = stream.shutdown(Shutdown::Both);
+        if let Some(incarnation) = self.current.take() {
+            incarnation.end();
         }
-        self.record.line(format_args!("searcher {} crashes", self.spec.id));
+    }
+
+    /// Whether its process runs.
+    pub fn is_alive(&self) -> bool {
+        self.current.as_ref().is_some_and(|c| c.is_alive())
     }
 }
 
@@ -134,6 +141,28 @@
         self.alive.load(Ordering::SeqCst)
     }
 
+    /// Ends the process and its connections.
+    fn end(&self) {
+        if !self.alive.swap(false, Ordering::SeqCst) {
+            return;
+        }
+        for stream in self.streams.lock().unwrap().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.line(format_args!("searcher {} ends", self.spec.id));
+    }
+
+    /// Whether the requests of the last second, with the one at `now`, are too many for a cold
+    /// process.
+    fn is_overrun(&self, now: Duration) -> bool {
+        let mut recent = self.recent.lock().unwrap();
+        recent.push_back(now);
+        while recent.front().is_some_and(|at| *at + Duration::from_secs(1) <= now) {
+            recent.pop_front();
+        }
+        now < self.cold_until && self.spec.cold_crash > 0 && recent.len() >= self.spec.cold_crash
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         let mut number = 0;
         while self.is_alive() {
@@ -189,6 +218,10 @@
             cold: at < self.cold_until,
         };
         self.arrivals.lock().unwrap().push(arrival);
+        if self.is_overrun(at) {
+            self.record.line(format_args!("searcher {id} crashes: too many requests while cold"));
+            self.end();
+        }
         thread::sleep(self.spec.work);
         let number = self.seals.fetch_add(1, Ordering::SeqCst);
         let seal = format!("{id}.{number:x}.{attempt}");
