--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -17,6 +17,9 @@
 /// Time until all hosts have to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Idle time of a store that closes no connection during a case.
+pub const LONG_IDLE: Duration = Duration::from_secs(600);
+
 /// A running deployment.
 pub struct Deployment {
     pub record: Record,
@@ -32,6 +35,8 @@
     pub hosts: [u8; 3],
     /// Positions of the hosts that are seeds, in the order of their names.
     pub seeds: Vec<usize>,
+    /// Time after which the store closes an idle connection.
+    pub store_idle: Duration,
     /// Value of `op/config`.
     pub config: String,
     /// Searchers, without their addresses.
@@ -57,6 +62,7 @@
         slots: 3,
         work,
         cold_crash: 0,
+        starts_late: false,
     }
 }
 
@@ -77,14 +83,17 @@
         ips.extend((0..plan.searchers.len()).map(searcher_ip));
         let ports = Ports::free(&ips);
         let lapse = HEARTBEAT * 3;
-        let store = Store::start((store_ip, ports.callers).into(), lapse, record.clone());
+        let store_address = (store_ip, ports.callers).into();
+        let store = Store::start(store_address, lapse, plan.store_idle, record.clone());
         store.put("op/config", &plan.config, false);
         let arrivals: Arrivals = Arc::new(Mutex::default());
         let mut searchers = Vec::new();
         for (at, mut spec) in plan.searchers.into_iter().enumerate() {
             spec.address = (searcher_ip(at), ports.callers).into();
             let mut searcher = Searcher::new(spec, &store, record, &arrivals);
-            searcher.start(Duration::ZERO);
+            if !searcher.spec.starts_late {
+                searcher.start(Duration::ZERO);
+            }
             searchers.push(searcher);
         }
         let control = |ip: Ipv4Addr| SocketAddr::from((ip, ports.hosts));
--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -9,15 +9,12 @@
 
 use crate::Verdict;
 use crate::client::{Request, by_status};
-use crate::deployment::{Deployment, Plan, searcher};
+use crate::deployment::{Deployment, LONG_IDLE, Plan, searcher};
 use crate::record::Record;
 
 /// `DrainMs` of the small sites.
 const DRAIN: Duration = Duration::from_millis(3_000);
 
-/// `ContactMs` of the small sites; the calm before the disruption is twice as long.
-const CONTACT: Duration = Duration::from_millis(4_000);
-
 /// Positions of the first host of each zone, which are the seeds.
 const SEEDS: [usize; 3] = [0, 3, 6];
 
@@ -32,7 +29,26 @@
 
 const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"r-desk","Host":"desk.example","Prefix":"/desk/","RouteType":"unsafe","TimeoutMs":4000,"TargetLatencyMs":400,"Priority":2,"Upstream":"desk","MaxAttempts":2}],"Upstreams":[{"Name":"desk","HealthPath":"/health","MaxConns":110,"Protocol":"h1","Tls":false,"WarmupS":3.0,"WarmupPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
-pub fn run(trouble: bool, folder: &Path, record: &Record) -> Verdict {
+/// What differs between the cases of this module.
+pub struct Setup {
+    /// Positions of the hosts that are killed.
+    pub killed: &'static [usize],
+    /// Time after which the store closes an idle connection.
+    pub store_idle: Duration,
+    /// Calm before the disruption.
+    pub calm: Duration,
+}
+
+/// All seeds are killed.
+pub const SEEDS_LOST: Setup =
+    Setup { killed: &SEEDS, store_idle: LONG_IDLE, calm: Duration::from_secs(8) };
+
+/// Only the host that reads the store is killed, and the store closes idle connections.
+pub const READER_LOST: Setup =
+    Setup { killed: &[0], store_idle: Duration::from_secs(10), calm: Duration::from_secs(14) };
+
+/// Runs a case; `setup` tells which.
+pub fn run(setup: &Setup, trouble: bool, folder: &Path, record: &Record) -> Verdict {
     let work = Duration::from_millis(100);
     let ids = ["i-m1", "i-m2", LEAVING, "i-n2", "i-r1", "i-r2"];
     let specs = ids.iter().enumerate();
@@ -40,6 +56,7 @@
     let plan = Plan {
         hosts: [3, 3, 2],
         seeds: SEEDS.to_vec(),
+        store_idle: setup.store_idle,
         config: CONFIG.to_owned(),
         searchers: specs.collect(),
     };
@@ -47,7 +64,8 @@
         Ok(deployment) => deployment,
         Err(e) => return Verdict::NotRun(e),
     };
-    let killed: Vec<SocketAddr> = SEEDS.iter().map(|at| deployment.hosts[*at].callers).collect();
+    let killed: Vec<SocketAddr> =
+        setup.killed.iter().map(|at| deployment.hosts[*at].callers).collect();
     let request = Request {
         method: "POST",
         host: "desk.example",
@@ -55,10 +73,10 @@
         budget: Duration::from_millis(4_000),
     };
     let clients = deployment.clients(60, 80.0, &request);
-    thread::sleep(CONTACT * 2);
+    thread::sleep(setup.calm);
     if trouble {
-        for at in SEEDS {
-            let host = &mut deployment.hosts[at];
+        for at in setup.killed {
+            let host = &mut deployment.hosts[*at];
             record.say(format_args!("SIGKILL to {}", host.name));
             host.kill();
         }
@@ -69,8 +87,8 @@
     record.say(format_args!("entry of {LEAVING} removed at {} ms", removed.as_millis()));
     thread::sleep(DOWN - Duration::from_millis(100));
     if trouble {
-        for at in SEEDS {
-            let host = &mut deployment.hosts[at];
+        for at in setup.killed {
+            let host = &mut deployment.hosts[*at];
             record.say(format_args!("{} starts again", host.name));
             host.restart();
         }
--- a/review/standins/src/failback.rs
+++ b/review/standins/src/failback.rs
@@ -7,7 +7,7 @@
 
 use crate::Verdict;
 use crate::client::{Request, by_status};
-use crate::deployment::{Deployment, Plan, searcher};
+use crate::deployment::{Deployment, LONG_IDLE, Plan, searcher};
 use crate::record::Record;
 
 /// `WarmupPerS` of the service.
@@ -45,6 +45,7 @@
     let plan = Plan {
         hosts: [3, 3, 2],
         seeds: vec![0, 3, 6],
+        store_idle: LONG_IDLE,
         config: CONFIG.to_owned(),
         searchers: specs.collect(),
     };
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod record;
 mod searcher;
+mod skew;
 mod store;
 
 use std::path::Path;
@@ -43,8 +44,10 @@
     let temporary = Folder::create().expect("create a folder for settings and logs");
     record.say(format_args!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let verdict = match case.as_str() {
-        "drain" => drain::run(trouble, &temporary.0, &record),
+        "drain" => drain::run(&drain::SEEDS_LOST, trouble, &temporary.0, &record),
+        "idle" => drain::run(&drain::READER_LOST, trouble, &temporary.0, &record),
         "failback" => failback::run(trouble, &temporary.0, &record),
+        "skew" => skew::run(trouble, &temporary.0, &record),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let (text, code) = match verdict {
--- a/review/standins/src/searcher.rs
+++ b/review/standins/src/searcher.rs
@@ -27,6 +27,8 @@
     pub work: Duration,
     /// Requests in one second at which it crashes while it is cold; 0 for none.
     pub cold_crash: usize,
+    /// Whether it is not started with the deployment.
+    pub starts_late: bool,
 }
 
 /// A request that reached a searcher and was not refused.
@@ -63,12 +65,27 @@
     record: Record,
     arrivals: Arrivals,
     current: Option<Arc<Incarnation>>,
+    /// By how much the clock of its machine is ahead.
+    pub ahead: Duration,
+    /// Start of the process by that clock, in Unix milliseconds.
+    born: u128,
+    /// Announcements of the process so far.
+    sequence: u64,
 }
 
 impl Searcher {
     pub fn new(spec: Spec, store: &Arc<Store>, record: &Record, arrivals: &Arrivals) -> Self {
         let (store, record, arrivals) = (store.clone(), record.clone(), arrivals.clone());
-        Self { spec, store, record, arrivals, current: None }
+        Self {
+            spec,
+            store,
+            record,
+            arrivals,
+            current: None,
+            ahead: Duration::ZERO,
+            born: 0,
+            sequence: 0,
+        }
     }
 
     fn key(&self) -> String {
@@ -94,7 +111,10 @@
             self.spec.id,
             cold.as_millis()
         ));
-        self.announce(cold);
+        let clock = SystemTime::now() + self.ahead;
+        self.born = clock.duration_since(UNIX_EPOCH).unwrap().as_millis();
+        self.sequence = 0;
+        self.announce("ready", cold);
         let accepting = incarnation.clone();
         thread::spawn(move || accepting.accept(&listener));
         let (beating, store, key) = (incarnation.clone(), self.store.clone(), self.key());
@@ -107,14 +127,21 @@
         self.current = Some(incarnation);
     }
 
-    fn announce(&self, cold: Duration) {
+    fn announce(&mut self, state: &str, cold: Duration) -> Duration {
+        self.sequence += 1;
         let Spec { service, zone, address, slots, .. } = &self.spec;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        let cold = cold.as_millis();
+        let (cold, sequence, born) = (cold.as_millis(), self.sequence, self.born);
         let value = format!(
-            r#"{{"Upstream":"{service}","Address":"{address}","Zone":"{zone}","Version":"v1","Slots":{slots},"State":"ready","WarmupLeftMs":{cold},"Seq":1,"born":{born}}}"#
+            r#"{{"Upstream":"{service}","Address":"{address}","Zone":"{zone}","Version":"v1","Slots":{slots},"State":"{state}","WarmupLeftMs":{cold},"Seq":{sequence},"born":{born}}}"#
         );
-        self.store.put(&self.key(), &value, true);
+        let at = self.store.put(&self.key(), &value, true);
+        self.record.line(format_args!("searcher {} announces {value}", self.spec.id));
+        at
+    }
+
+    /// Reports `draining`; the process continues to serve. Returns the time of the acknowledgement.
+    pub fn report_draining(&mut self) -> Duration {
+        self.announce("draining", Duration::ZERO)
     }
 
     /// Removes the entry, as of a searcher that leaves without having reported `draining`; the
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -43,15 +43,27 @@
 pub struct Store {
     pub address: SocketAddr,
     record: Record,
+    /// Time after which an idle connection is closed.
+    idle: Duration,
     state: Mutex<State>,
     changed: Condvar,
 }
 
 impl Store {
-    pub fn start(address: SocketAddr, lapse: Duration, record: Record) -> Arc<Self> {
+    pub fn start(
+        address: SocketAddr,
+        lapse: Duration,
+        idle: Duration,
+        record: Record,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind(address).expect("bind the store");
-        let store =
-            Arc::new(Self { address, record, state: Mutex::default(), changed: Condvar::new() });
+        let store = Arc::new(Self {
+            address,
+            record,
+            idle,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let shared = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -69,8 +81,8 @@
         store
     }
 
-    /// Writes an item; one with `lapses` needs heartbeats.
-    pub fn put(&self, key: &str, value: &str, lapses: bool) {
+    /// Writes an item; one with `lapses` needs heartbeats. Returns the time of the acknowledgement.
+    pub fn put(&self, key: &str, value: &str, lapses: bool) -> Duration {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
@@ -80,8 +92,8 @@
         state.items.insert(key.to_owned(), item);
         let value = Some(value.to_owned());
         state.events.push(Event { key: key.to_owned(), revision, value });
-        self.record.line(format_args!("store put {key} revision={revision}"));
         self.changed.notify_all();
+        self.record.line(format_args!("store put {key} revision={revision}"))
     }
 
     /// Removes an item; returns the time of the acknowledgement.
@@ -116,13 +128,16 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(self.idle));
+        let keep_alive = format!("timeout={}", self.idle.as_secs());
         let Ok(mut out) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
             thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(request.path());
             self.record.line(format_args!("store answers {} {status}", request.start));
-            let headers = [("Content-Type", "application/json")];
+            let headers =
+                [("Content-Type", "application/json"), ("Keep-Alive", keep_alive.as_str())];
             if out.write_all(&http::response(status, &headers, body.as_bytes())).is_err() {
                 return;
             }
