Log each read of the store with the age that the view was taken to have

Cause: the logs could not tell whether hosts read the store late because its answers came late, because other hosts had read it, or because the view was taken for younger than it was. Ruled out: nothing by reading alone. Change: event=store_read with the believed age and the time since the host's own last read.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -36,6 +36,7 @@
         backoff: ReadBackoff::default(),
         missed_changes: true,
         covered: false,
+        last_read: None,
     };
     if !host.is_seed() {
         // Few hosts wait much less than the others; these learn the view from them.
@@ -74,11 +75,14 @@
     missed_changes: bool,
     /// Whether other hosts have read the store since it was lost to this one.
     covered: bool,
+    /// Start of the last successful read of this host.
+    last_read: Option<Instant>,
 }
 
 impl Reader {
     async fn read(&mut self) -> Result<()> {
         let start = self.host.now();
+        let age = self.host.view.borrow().age(start);
         let due = self.removals.needs_listing(start);
         if due || self.missed_changes || self.host.view.borrow().synced() == 0 {
             self.list_all(start).await?;
@@ -87,6 +91,7 @@
             self.read_changes(start).await?;
         }
         self.removals.store_up(self.host.now());
+        self.log_read(start, age);
         if self.backoff.succeeded() {
             self.covered = false;
             log::info!("event=store_regained synced={}", self.host.view.borrow().synced());
@@ -94,6 +99,15 @@
         Ok(())
     }
 
+    /// Logs a read that started at `start` with a view of age `age`. If this host reads for all, the
+    /// age equals the time since its own last read, unless other hosts have read meanwhile.
+    fn log_read(&mut self, start: Instant, age: Option<Duration>) {
+        let last = self.last_read.replace(start);
+        let pause = last.map(|last| start.saturating_duration_since(last));
+        let millis = |time: Option<Duration>| time.map_or(-1, |t| t.as_millis() as i64);
+        log::info!("event=store_read age_ms={} pause_ms={}", millis(age), millis(pause));
+    }
+
     /// Records a failed read of the store; returns the delay before the next one.
     fn record_failure(&mut self, error: &Error, max_staleness: Duration) -> Duration {
         self.host.metrics.count_store_failure();
