Take the age of a view over from replies only, counted from the request

What callers saw: 404 on routes that were acknowledged more than 3 s before, from hosts that nothing had disturbed. Cause: a host took the age in a datagram for the present one. A datagram waits in the socket of a host that stands still; the host wakes, believes the old age and passes it on, so that one confirmation of the store stays young while hosts freeze in turn, and no host reads the store. Ruled out: late answers of the store and reads of other hosts (event=store_read: age_ms=851 at pause_ms=4530, 5068 and 6705 on the only host that reads). Change: datagrams carry a stamp, replies echo it (policy::stamps). An age is taken over from a reply only and counted from the time of the own stamp, so it is never too low. A host whose view is younger than that in an ack replies to the ack. An age that reaches before the clock's first time no longer counts as zero. Test view_age: before the fix 'the host never reads the store' after 6 s; now passes.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,7 +1,8 @@
 //! Gossip with other hosts.
 //!
 //! The membership decides which hosts get a datagram. Each datagram carries a summary of the view;
-//! a host whose own view is behind fetches the difference from the sender over TCP.
+//! a host whose own view is behind fetches the difference from the sender over TCP. The age of a
+//! view is taken over only from replies, as the time since any other datagram was sent is unknown.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 
 use sapphirerack_policy::Outgoing;
 use sapphirerack_policy::direct::SlowReport;
-use sapphirerack_protocol::{Datagram, PeerReply, PeerRequest, Topic};
+use sapphirerack_protocol::{Datagram, PeerReply, PeerRequest, Purpose, Topic};
 use sapphirerack_routes::{Comparison, Delta, Departure, ViewSummary};
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -52,6 +53,9 @@
 /// Most departures in a datagram.
 const MAX_DEPARTURES: usize = 12;
 
+/// Difference of ages from which a host tells the sender of an ack that its own view is younger.
+const AGE_MARGIN: Duration = GOSSIP_INTERVAL;
+
 /// Least time between two fetches of a whole view.
 const MIN_WHOLE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -151,6 +155,7 @@
             }
         };
         let now = self.host.now();
+        let sent = self.host.fleet.members.borrow().earliest_send(&datagram, now);
         let outgoing = self.host.fleet.members.borrow_mut().receive(source, &datagram, now);
         self.send(outgoing).await;
         for departure in topic::<Vec<Departure>>(&datagram, DEPARTURE_TOPIC).unwrap_or_default() {
@@ -164,7 +169,12 @@
         let Some(summary) = topic::<ViewSummary>(&datagram, VIEW_TOPIC) else { return };
         let comparison = self.host.view.borrow().compare(&summary, now);
         match comparison {
-            Comparison::Current => self.host.view.borrow_mut().refresh(&summary, now),
+            Comparison::Current => {
+                if let Some(sent) = sent {
+                    self.host.view.borrow_mut().refresh(&summary, sent);
+                }
+                self.pass_age_on(source, &datagram, &summary, now).await;
+            }
             Comparison::Behind => {
                 let own = self.host.view.borrow().summary(now);
                 self.fetch_view(datagram.from.address, PeerRequest::View(own));
@@ -173,6 +183,22 @@
         }
     }
 
+    /// Replies to an ack if this host's view is younger than that of the sender, which can't rely on
+    /// the age in the ping: it does not know when that was sent.
+    async fn pass_age_on(
+        &self,
+        source: SocketAddr,
+        datagram: &Datagram,
+        summary: &ViewSummary,
+        now: Instant,
+    ) {
+        let is_ack = matches!(datagram.purpose, Purpose::Ack(_));
+        if is_ack && self.host.view.borrow().is_fresher(summary, AGE_MARGIN, now) {
+            let reply = self.host.fleet.members.borrow_mut().reply(source, datagram, now);
+            self.send(vec![reply]).await;
+        }
+    }
+
     /// Fetches the whole view of a peer, unless one was fetched only recently.
     fn fetch_whole(self: &Rc<Self>, peer: SocketAddr, now: Instant) {
         let is_recent = |at| now.saturating_duration_since(at) < MIN_WHOLE_INTERVAL;
--- a/crates/lab/src/fake_peers.rs
+++ b/crates/lab/src/fake_peers.rs
@@ -97,6 +97,7 @@
         peers: Vec::new(),
         summaries: Vec::new(),
         topics: Vec::new(),
+        echo: Some(ping.stamp),
         ..ping
     }
 }
--- a/crates/lab/tests/slopes.rs
+++ b/crates/lab/tests/slopes.rs
@@ -56,6 +56,8 @@
         peers: Vec::new(),
         summaries: Vec::new(),
         topics: Vec::new(),
+        stamp: 1,
+        echo: None,
     };
     let ping = ping.encode().unwrap();
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! - `route`: which hosts a sub-query is sent to
 //! - `scatter`: state machine of one query scattered to the owners of its shards
 //! - `snapshot`: which index snapshot a query is pinned to
+//! - `stamps`: when a message of another host was sent at the earliest
 //! - `start`: whether a move may start, and its stages
 //! - `group_lease`: share of a target that each host may use while hosts disagree on the owner
 //! - `verdict`: sequential comparison of a new version with the old one
@@ -66,6 +67,7 @@
 mod route;
 mod scatter;
 mod snapshot;
+mod stamps;
 mod start;
 mod updates;
 pub mod verdict;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -20,6 +20,7 @@
 use crate::Host;
 use crate::probes::Probes;
 use crate::roster::{Roster, is_live};
+use crate::stamps::Stamps;
 use crate::updates::UpdateQueue;
 
 /// Claims on hosts in one datagram at most.
@@ -104,6 +105,7 @@
     differences: Map<Name, Difference>,
     seeds: Vec<SocketAddr>,
     rng: fastrand::Rng,
+    stamps: Stamps,
     ticks: u64,
     last_active: Instant,
     start: Instant,
@@ -124,6 +126,7 @@
             age: 0,
             capacity: own.capacity,
         };
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut membership = Self {
             own,
             timing,
@@ -134,7 +137,8 @@
             cut_off: Set::default(),
             differences: Map::default(),
             seeds: Vec::new(),
-            rng: fastrand::Rng::with_seed(seed),
+            stamps: Stamps::new(now, &mut rng),
+            rng,
             ticks: 0,
             last_active: now,
             start: now,
@@ -216,6 +220,19 @@
         targets.into_iter().map(|to| self.compose(to, Purpose::News, now)).collect()
     }
 
+    /// Time before which a datagram was not sent; `None` if it replies to none of this host, as it
+    /// may have been under way for any time.
+    pub fn earliest_send(&self, datagram: &Datagram, now: Instant) -> Option<Instant> {
+        datagram.echo.and_then(|stamp| self.stamps.time(stamp, now))
+    }
+
+    /// Reply to a datagram from `source`, which thereby learns when it was sent at the earliest.
+    pub fn reply(&mut self, source: SocketAddr, datagram: &Datagram, now: Instant) -> Outgoing {
+        let mut reply = self.compose(source, Purpose::News, now);
+        reply.datagram.echo = Some(datagram.stamp);
+        reply
+    }
+
     /// Handles a datagram from `source`.
     pub fn receive(
         &mut self,
@@ -237,7 +254,7 @@
         self.update_cut_off(now);
         let mut out = Vec::new();
         match datagram.purpose {
-            Purpose::Ping(seq) => out.push(self.acknowledge(source, from, seq, now)),
+            Purpose::Ping(seq) => out.push(self.acknowledge(source, datagram, seq, now)),
             Purpose::Ack(seq) => {
                 if let Some((requester, seq)) = self.probes.answered(seq) {
                     out.push(self.compose(requester, Purpose::Ack(seq), now));
@@ -423,8 +440,10 @@
         choices.into_iter().filter_map(|(_, c)| self.rng.choice(c)).collect()
     }
 
-    fn acknowledge(&mut self, to: SocketAddr, from: &Peer, seq: u64, now: Instant) -> Outgoing {
+    fn acknowledge(&mut self, to: SocketAddr, ping: &Datagram, seq: u64, now: Instant) -> Outgoing {
+        let from = &ping.from;
         let mut ack = self.compose(to, Purpose::Ack(seq), now);
+        ack.datagram.echo = Some(ping.stamp);
         // A host that others suspect or declared dead must receive that claim to refute it.
         let contested = self
             .roster
@@ -444,6 +463,8 @@
             peers,
             summaries: self.summaries(now),
             topics: Vec::new(),
+            stamp: self.stamps.make(now),
+            echo: None,
         };
         Outgoing { to, datagram }
     }
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -4,12 +4,12 @@
 
 mod net;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use net::Net;
 use quickcheck::{Gen, QuickCheck};
-use sapphirerack_policy::Timing;
-use sapphirerack_protocol::Liveness;
+use sapphirerack_policy::{Host, Membership, Timing};
+use sapphirerack_protocol::{Datagram, Liveness};
 
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -230,3 +230,56 @@
     let r#gen = Gen::from_size_and_seed(24, 77);
     QuickCheck::new().rng(r#gen).tests(12).quickcheck(stays_away as fn(Vec<u8>) -> bool);
 }
+
+/// Membership of the host `index`, which starts at `start`.
+fn member(index: usize, start: Instant) -> Membership {
+    let host = Host {
+        name: format!("munich-{index}").into(),
+        data_centre: "munich".into(),
+        address: net::address(index),
+        capacity: 0,
+    };
+    let mut membership = Membership::new(&host, Timing::default(), start, seconds(1), index as u64);
+    membership.set_seeds(vec![net::address(1 - index)]);
+    membership
+}
+
+/// The first ping of host 0, sent at `sent`, and its ack by host 1.
+fn first_exchange(asking: &mut Membership, start: Instant, sent: Instant) -> (Datagram, Datagram) {
+    let ping = asking.tick(sent).remove(0).datagram;
+    let ack = member(1, start).receive(net::address(0), &ping, sent + seconds(1)).remove(0);
+    (ping, ack.datagram)
+}
+
+#[test]
+fn reply_was_not_sent_before_the_datagram_that_it_echoes() {
+    let start = Instant::now();
+    let sent = start + seconds(3);
+    let mut asking = member(0, start);
+
+    let (_, ack) = first_exchange(&mut asking, start, sent);
+
+    let later = sent + seconds(9);
+    assert_eq!(asking.earliest_send(&ack, later), Some(sent), "however long it waited");
+}
+
+#[test]
+fn datagram_that_replies_to_none_of_this_process_may_have_been_sent_at_any_time() {
+    let start = Instant::now();
+    let sent = start + seconds(3);
+    let mut asking = member(0, start);
+    let (ping, ack) = first_exchange(&mut asking, start, sent);
+    let host = Host {
+        name: "munich-0".into(),
+        data_centre: "munich".into(),
+        address: net::address(0),
+        capacity: 0,
+    };
+    let restarted = Membership::new(&host, Timing::default(), sent, seconds(9), 7);
+
+    let later = sent + seconds(20);
+    assert_eq!(member(1, start).earliest_send(&ping, later), None, "it echoes nothing");
+    assert_eq!(restarted.earliest_send(&ack, later), None, "the process before sent the ping");
+    let ahead = Datagram { echo: Some(u64::MAX), ..ack };
+    assert_eq!(asking.earliest_send(&ahead, later), None, "it was never sent");
+}
--- a/crates/protocol/src/gossip.rs
+++ b/crates/protocol/src/gossip.rs
@@ -98,6 +98,10 @@
     pub summaries: Vec<Summary>,
     /// Payloads of other components.
     pub topics: Vec<Topic>,
+    /// Stamp of the sender's clock; only the sender can read it.
+    pub stamp: u64,
+    /// Stamp of the datagram that this one replies to.
+    pub echo: Option<u64>,
 }
 
 impl Datagram {
--- a/crates/protocol/tests/gossip.rs
+++ b/crates/protocol/tests/gossip.rs
@@ -23,6 +23,8 @@
         peers: vec![from],
         summaries: vec![Summary { data_centre: "munich".into(), age: 20, digest: 9 }],
         topics: vec![Topic { name: "verdicts".into(), bytes: vec![1; topic_len] }],
+        stamp: 5,
+        echo: Some(4),
     }
 }
 
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -24,6 +24,13 @@
     pub age: u64,
 }
 
+impl ViewSummary {
+    fn has_content_of(&self, other: &Self) -> bool {
+        let content = |s: &Self| (s.version, s.content, s.digest);
+        content(self) == content(other)
+    }
+}
+
 /// How a host's view relates to that of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Comparison {
@@ -170,13 +177,29 @@
         Comparison::Current
     }
 
-    /// Adopts the age of another host's view if its content is the same and its age lower.
-    pub fn refresh(&mut self, other: &ViewSummary, now: Instant) {
+    /// Adopts the confirmation of another host's view if its content is the same. The summary must
+    /// not have been made before `sent`, so that the view is never taken for younger than it is.
+    pub fn refresh(&mut self, other: &ViewSummary, sent: Instant) {
+        if self.summary(sent).has_content_of(other) {
+            self.confirm_for(other.synced, other.age, sent);
+        }
+    }
+
+    /// Whether another host's view has the same content and its age is higher by more than
+    /// `margin`.
+    pub fn is_fresher(&self, other: &ViewSummary, margin: Duration, now: Instant) -> bool {
         let own = self.summary(now);
-        let same = other.content == own.content && other.version == own.version;
-        if same && other.digest == own.digest && other.age < own.age {
-            let at = now.checked_sub(Duration::from_millis(other.age));
-            self.confirm(other.synced, at.unwrap_or(now));
+        let margin = u64::try_from(margin.as_millis()).unwrap_or(u64::MAX);
+        own.has_content_of(other) && own.age.saturating_add(margin) < other.age
+    }
+
+    /// Records a confirmation that had this age, in milliseconds, at `sent` or later.
+    fn confirm_for(&mut self, synced: u64, age: u64, sent: Instant) {
+        if age == u64::MAX {
+            return;
+        }
+        if let Some(at) = sent.checked_sub(Duration::from_millis(age)) {
+            self.confirm(synced, at);
         }
     }
 
@@ -220,9 +243,8 @@
         for order in delta.orders {
             changed |= self.orders.merge(order, synced);
         }
-        if delta.age != u64::MAX && delta.digest == self.digest() {
-            let at = now.checked_sub(Duration::from_millis(delta.age));
-            self.confirm(delta.synced, at.unwrap_or(now));
+        if delta.digest == self.digest() {
+            self.confirm_for(delta.synced, delta.age, now);
         }
         changed
     }
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -387,3 +387,32 @@
     assert!(!view.registry_mut().mark_leaving("a", 1), "a late answer of the earlier process");
     assert_eq!(usable(&view), ["a"]);
 }
+
+#[test]
+fn age_counts_from_the_earliest_time_at_which_it_may_have_been_stated() {
+    let sent = Instant::now();
+    let now = sent + Duration::from_millis(700);
+    let fresh = listed(&[target("a", 1, 1)], 20, now);
+    let mut other = View::default();
+    other.merge(fresh.whole(now), sent);
+
+    assert_eq!(other.age(now), Some(Duration::from_millis(700)));
+
+    other.refresh(&fresh.summary(now), sent + Duration::from_millis(500));
+
+    assert_eq!(other.age(now), Some(Duration::from_millis(200)));
+}
+
+#[test]
+fn only_a_view_with_the_same_content_and_a_much_lower_age_is_fresher() {
+    let now = Instant::now();
+    let margin = Duration::from_millis(200);
+    let view = listed(&[target("a", 1, 1)], 20, now);
+    let aged = |age| ViewSummary { age, ..view.summary(now) };
+
+    assert!(view.is_fresher(&aged(201), margin, now));
+    assert!(view.is_fresher(&aged(u64::MAX), margin, now));
+    assert!(!view.is_fresher(&aged(200), margin, now));
+    assert!(!view.is_fresher(&ViewSummary { digest: 1, ..aged(201) }, margin, now));
+    assert!(!View::default().is_fresher(&ViewSummary::default(), margin, now), "it was never read");
+}
--- /dev/null
+++ b/crates/sapphirerack/tests/view_age.rs
@@ -0,0 +1,102 @@
+//! How old a host takes its view of the store to be.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+mod platform_support;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, Purpose};
+use sapphirerack_routes::ViewSummary;
+use serde_json::json;
+
+use platform_support::{Host, Store, configuration, unused_address};
+
+/// Time within which a change of the configuration must be in force.
+const CONFIG_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time between two repetitions of a datagram.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A host that knows one other host, which the test plays.
+struct Setup {
+    store: Store,
+    host: Host,
+    peer: UdpSocket,
+    gossip: SocketAddr,
+}
+
+fn setup() -> Setup {
+    let store = Store::start();
+    store.put("op/config", &configuration(1, &["s1"], "desk"));
+    let [callers, ready] = [unused_address(), unused_address()];
+    // All hosts use the same port, each on an address of its own.
+    let port = unused_address().port();
+    let gossip: SocketAddr = ([127, 0, 0, 2], port).into();
+    let peer = UdpSocket::bind(("127.0.0.3", port)).unwrap();
+    peer.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let settings = json!({
+        "name": "host-2", "data_centre": "here",
+        "listen": { "callers": callers, "ready": ready, "hosts": gossip },
+        "store": store.address, "seeds": [peer.local_addr().unwrap()],
+        "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
+    });
+    let host = Host::start_with_settings(callers, ready, &settings, Stdio::null());
+    host.await_ready();
+    Setup { store, host, peer, gossip }
+}
+
+impl Setup {
+    /// Next datagram of the host that tells of a configuration.
+    fn receive(&self) -> (Datagram, ViewSummary) {
+        let mut bytes = [0; DATAGRAM_LIMIT];
+        loop {
+            let (len, _) = self.peer.recv_from(&mut bytes).unwrap();
+            let datagram = Datagram::decode(&bytes[..len]).unwrap();
+            let summary: ViewSummary = postcard::from_bytes(&datagram.topics[0].bytes).unwrap();
+            if summary.version > 0 {
+                return (datagram, summary);
+            }
+        }
+    }
+
+    /// Datagram of the played host, which has the same view and states that it was read just now.
+    fn fresh(&self, purpose: Purpose) -> Datagram {
+        let (mut datagram, summary) = self.receive();
+        datagram.from.name = "host-1".into();
+        datagram.from.address = self.peer.local_addr().unwrap();
+        datagram.purpose = purpose;
+        datagram.peers.clear();
+        let topic = &mut datagram.topics[0];
+        topic.bytes = postcard::to_stdvec(&ViewSummary { age: 0, ..summary }).unwrap();
+        datagram
+    }
+
+    /// Repeats a datagram until the host has a changed configuration in force.
+    fn time_to_adopt(&self, datagram: &Datagram) -> Duration {
+        let bytes = datagram.encode().unwrap();
+        let mut changed = configuration(2, &["s1"], "desk");
+        changed["Routes"][1]["Prefix"] = "/added/".into();
+        self.store.put("op/config", &changed);
+        let start = Instant::now();
+        while self.host.get("/added/").status() == 404 {
+            assert!(start.elapsed() <= 2 * CONFIG_LIMIT, "the host never reads the store");
+            self.peer.send_to(&bytes, self.gossip).unwrap();
+            std::thread::sleep(REPEAT_INTERVAL);
+        }
+        start.elapsed()
+    }
+}
+
+/// Guards against a view that stays young while datagrams wait at hosts that freeze in turn.
+#[test]
+fn age_in_a_datagram_that_waited_is_not_taken_for_the_present_one() {
+    let setup = setup();
+    let datagram = setup.fresh(Purpose::News);
+
+    let time = setup.time_to_adopt(&datagram);
+
+    assert!(time <= CONFIG_LIMIT, "{time:?}");
+}
