Count the age of a fetched view from the request

Cause: the age in a view fetched over TCP, or learnt from a seed at the start, was counted from the arrival of the reply. Ruled out: reads of the store, which count from their start already. Change: View::merge takes the time of the request. Conclusion: a view that is under way for long is no longer taken for young.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -216,8 +216,9 @@
         }
         let peers = self.clone();
         spawn_local(async move {
+            let asked = peers.host.now();
             match call(peer, &request).await {
-                Ok(PeerReply::View(delta)) => merge_delta(&peers.host, peer, *delta),
+                Ok(PeerReply::View(delta)) => merge_delta(&peers.host, peer, *delta, asked),
                 Ok(PeerReply::Peers(_)) => log::warn!("event=view_refused peer={peer}"),
                 Err(e) => log::debug!("event=view_not_learnt error=\"{e}\""),
             }
@@ -257,11 +258,11 @@
     postcard::from_bytes(&topic.bytes).ok()
 }
 
-/// Merges the changes of another host into the view.
-fn merge_delta(host: &Host, peer: SocketAddr, delta: Delta) {
+/// Merges the changes of another host, which was asked for them at `asked`, into the view.
+fn merge_delta(host: &Host, peer: SocketAddr, delta: Delta, asked: Instant) {
     let before = host.view.borrow().version();
     let (targets, orders) = (delta.targets.len(), delta.orders.len());
-    let changed = host.view.borrow_mut().merge(delta, host.now());
+    let changed = host.view.borrow_mut().merge(delta, asked);
     if changed {
         let version = host.view.borrow().version();
         log::info!(
@@ -284,12 +285,13 @@
             if host.view.borrow().version() > 0 {
                 return;
             }
-            let own = host.view.borrow().summary(host.now());
+            let asked = host.now();
+            let own = host.view.borrow().summary(asked);
             let response =
                 tokio::time::timeout(STARTUP_TIMEOUT, call(*peer, &PeerRequest::View(own))).await;
             if let Ok(Ok(PeerReply::View(delta))) = response {
                 silent_rounds = 0;
-                merge_delta(&host, *peer, *delta);
+                merge_delta(&host, *peer, *delta, asked);
             }
         }
         tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
--- a/crates/routes/src/view.rs
+++ b/crates/routes/src/view.rs
@@ -223,8 +223,9 @@
         }
     }
 
-    /// Merges changes from another host; true if something changed.
-    pub fn merge(&mut self, delta: Delta, now: Instant) -> bool {
+    /// Merges changes that another host was asked for at `asked`; true if something changed. The age
+    /// in them counts from then on.
+    pub fn merge(&mut self, delta: Delta, asked: Instant) -> bool {
         let synced = self.synced;
         let mut changed = false;
         // While a removal is held back here, the view knows more than any other.
@@ -244,7 +245,7 @@
             changed |= self.orders.merge(order, synced);
         }
         if delta.digest == self.digest() {
-            self.confirm_for(delta.synced, delta.age, now);
+            self.confirm_for(delta.synced, delta.age, asked);
         }
         changed
     }
--- a/crates/sapphirerack/tests/view_age.rs
+++ b/crates/sapphirerack/tests/view_age.rs
@@ -4,12 +4,13 @@
 
 mod platform_support;
 
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
-use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, Purpose};
-use sapphirerack_routes::ViewSummary;
+use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, PeerReply, Purpose, to_frame};
+use sapphirerack_routes::{Configuration, Delta, ViewSummary};
 use serde_json::json;
 
 use platform_support::{Host, Store, configuration, unused_address};
@@ -17,6 +18,9 @@
 /// Time within which a change of the configuration must be in force.
 const CONFIG_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time that a view is under way; the host waits for it a little longer.
+const TRANSFER_TIME: Duration = Duration::from_millis(900);
+
 /// Time between two repetitions of a datagram.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -62,6 +66,24 @@
         }
     }
 
+    /// Summary of the host's view once it has a configuration.
+    fn await_version(&self, version: u64) -> ViewSummary {
+        let summaries = std::iter::repeat_with(|| self.receive().1);
+        summaries.into_iter().find(|s| s.version == version).unwrap()
+    }
+
+    /// Answers the next request for a view with `delta`, late.
+    fn send_late(&self, delta: Delta) {
+        let listener = TcpListener::bind(self.peer.local_addr().unwrap()).unwrap();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            stream.read_exact(&mut [0; 4]).unwrap();
+            std::thread::sleep(TRANSFER_TIME);
+            let reply = to_frame(&PeerReply::View(Box::new(delta))).unwrap();
+            stream.write_all(&reply).unwrap();
+        });
+    }
+
     /// Datagram of the played host, which has the same view and states that it was read just now.
     fn fresh(&self, purpose: Purpose) -> Datagram {
         let (mut datagram, summary) = self.receive();
@@ -100,3 +122,22 @@
 
     assert!(time <= CONFIG_LIMIT, "{time:?}");
 }
+
+/// Guards against a fetched view that is taken for younger than it is.
+#[test]
+fn age_of_a_fetched_view_includes_the_time_that_it_was_under_way() {
+    let setup = setup();
+    let mut news = setup.fresh(Purpose::News);
+    let summary: ViewSummary = postcard::from_bytes(&news.topics[0].bytes).unwrap();
+    let newer = ViewSummary { version: 2, ..summary };
+    news.topics[0].bytes = postcard::to_stdvec(&newer).unwrap();
+    let configuration = Some(Configuration { version: 2, ..Default::default() });
+    let (digest, synced) = (summary.digest, summary.synced);
+    setup.send_late(Delta { configuration, digest, synced, age: 0, ..Delta::default() });
+    setup.store.set_unavailable(true);
+
+    setup.peer.send_to(&news.encode().unwrap(), setup.gossip).unwrap();
+    let learnt = setup.await_version(2);
+
+    assert!(u128::from(learnt.age) >= TRANSFER_TIME.as_millis(), "age {}", learnt.age);
+}
