Take the time of the last contact with a data centre over from replies only

What callers would see: queries sent to a data centre that is lost, for as long as hosts freeze in turn. Hosts tell each other how long ago a data centre was last heard of; the time that a datagram waited was not counted, so that one contact stayed young. Ruled out: detection by own pings, which ends in time. Change: Membership::compare counts the stated age from the earliest time at which the reply may have been sent, and takes none from other datagrams. Conclusion: the contact is never taken for more recent than it was.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -483,14 +483,17 @@
         self.roster.data_centres().map(summary).collect()
     }
 
-    /// Compares the sender's summaries with this host's view.
+    /// Compares the sender's summaries with this host's view. The age of a contact is taken over
+    /// from replies only, so that it is never too low.
     fn compare(&mut self, datagram: &Datagram, now: Instant) {
         let from = &datagram.from;
+        let sent = self.earliest_send(datagram, now);
         let is_local = from.data_centre == self.own.data_centre;
         for summary in &datagram.summaries {
             let name = &summary.data_centre;
             if is_local
-                && let Some(contact) = now.checked_sub(Duration::from_millis(summary.age.into()))
+                && let Some(contact) = sent
+                    .and_then(|sent| sent.checked_sub(Duration::from_millis(summary.age.into())))
             {
                 let known = self.last_contact.entry(name.clone()).or_insert(contact);
                 *known = contact.max(*known);
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -283,3 +283,23 @@
     let ahead = Datagram { echo: Some(u64::MAX), ..ack };
     assert_eq!(asking.earliest_send(&ahead, later), None, "it was never sent");
 }
+
+/// Guards against a lost data centre that counts as reachable while hosts freeze in turn.
+#[test]
+fn data_centre_is_cut_off_in_time_while_hosts_freeze_in_turn() {
+    let mut net = converged(&["munich", "leith"], 4);
+    net.partition("munich", "leith");
+    let cut_off = |net: &Net| (0..4).all(|i| net.live(i).len() == 4);
+
+    let start = net.now;
+    let limit = Timing::default().cut_off + seconds(2);
+    for i in (0..4).cycle() {
+        assert!(net.now <= start + limit, "leith still counts as reachable");
+        net.nodes[i].paused = true;
+        net.run(Duration::from_millis(550));
+        net.resume(i);
+        if cut_off(&net) {
+            break;
+        }
+    }
+}
