--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -287,16 +287,29 @@
 /// Guards against a lost data centre that counts as reachable while hosts freeze in turn.
 #[test]
 fn data_centre_is_cut_off_in_time_while_hosts_freeze_in_turn() {
+    cut_off_while_hosts_freeze(Duration::from_millis(550));
+}
+
+/// Guards against a host that tells others of a contact as if its own pause had not been.
+#[test]
+fn data_centre_is_cut_off_in_time_while_hosts_freeze_in_turn_for_longer() {
+    cut_off_while_hosts_freeze(Duration::from_millis(1_500));
+}
+
+fn cut_off_while_hosts_freeze(time: Duration) {
     let mut net = converged(&["munich", "leith"], 4);
     net.partition("munich", "leith");
     let cut_off = |net: &Net| (0..4).all(|i| net.live(i).len() == 4);
 
     let start = net.now;
-    let limit = Timing::default().cut_off + seconds(2);
+    // A host does not count its own pauses as time without contact, if it notices them. Each host
+    // has two at most.
+    let noticed = if time >= Timing::default().pause { 2 * time } else { Duration::ZERO };
+    let limit = Timing::default().cut_off + noticed + seconds(2);
     for i in (0..4).cycle() {
         assert!(net.now <= start + limit, "leith still counts as reachable");
         net.nodes[i].paused = true;
-        net.run(Duration::from_millis(550));
+        net.run(time);
         net.resume(i);
         if cut_off(&net) {
             break;
