Count ages by a clock that goes on while the machine is suspended

Cause: the steady clock does not count the time for which a machine is suspended, so that a host that slept took its view, its contacts and its pings for as young as before, and its gossip said so. Ruled out: the time of day, which jumps. Change: Clock::boot_time (rustix, through the C library), used by the view, the reader of the store and the membership of forward. New dependency: rustix. Figures: test view_age with a clock that was suspended for 60 s: without the change in forward 'the view counts as young'; with it, it passes. Conclusion: ages are true after a sleep.

--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -116,6 +116,12 @@
         self.clock.now()
     }
 
+    /// Time for what is known of the store and of other hosts; goes on while the machine is
+    /// suspended.
+    pub(crate) fn boot_time(&self) -> Instant {
+        self.clock.boot_time()
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         self.phase.get()
     }
@@ -123,7 +129,7 @@
     /// Starts the shutdown.
     pub(crate) fn leave(&self) {
         self.phase.set(Phase::Leaving);
-        self.fleet.members.borrow_mut().leave(self.now());
+        self.fleet.members.borrow_mut().leave(self.boot_time());
         self.stopping.notify_waiters();
     }
 
--- a/crates/forward/src/peer_calls.rs
+++ b/crates/forward/src/peer_calls.rs
@@ -89,7 +89,7 @@
     request: PeerRequest,
     peer: SocketAddr,
 ) -> Result<()> {
-    let now = host.now();
+    let now = host.boot_time();
     let answer = match request {
         PeerRequest::Link => return Ok(()),
         PeerRequest::View(other) => {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -75,14 +75,14 @@
     let mut ticks = tokio::time::interval(GOSSIP_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut gossiped = ViewSummary::default();
-    let mut last_slow = peers.host.now();
+    let mut last_slow = peers.host.boot_time();
     loop {
         let (mut slow, mut departed) = (false, false);
         tokio::select! {
             () = peers.host.slow_changed.notified() => slow = true,
             () = peers.host.departed.notified() => departed = true,
             _ = ticks.tick() => {
-                let outgoing = peers.host.fleet.members.borrow_mut().tick(peers.host.now());
+                let outgoing = peers.host.fleet.members.borrow_mut().tick(peers.host.boot_time());
                 peers.send(outgoing).await;
                 peers.repair();
                 peers.host.update_members();
@@ -93,7 +93,7 @@
                 Err(e) => log::debug!("event=datagram_lost error=\"{e}\""),
             },
         }
-        let now = peers.host.now();
+        let now = peers.host.boot_time();
         let own = peers.host.view.borrow().summary(now);
         let changed = own.content > gossiped.content || own.version > gossiped.version;
         slow &= now.saturating_duration_since(last_slow) >= MIN_SLOW_INTERVAL;
@@ -121,7 +121,7 @@
         if outgoing.is_empty() {
             return;
         }
-        let now = self.host.now();
+        let now = self.host.boot_time();
         let topics = [
             encode_topic(DEPARTURE_TOPIC, &self.host.recent_departures(MAX_DEPARTURES)),
             encode_topic(SLOW_TOPIC, &self.host.slow_reports(MAX_REPORTS)),
@@ -154,7 +154,7 @@
                 return;
             }
         };
-        let now = self.host.now();
+        let now = self.host.boot_time();
         let sent = self.host.fleet.members.borrow().earliest_send(&datagram, now);
         let outgoing = self.host.fleet.members.borrow_mut().receive(source, &datagram, now);
         self.send(outgoing).await;
@@ -216,7 +216,7 @@
         }
         let peers = self.clone();
         spawn_local(async move {
-            let asked = peers.host.now();
+            let asked = peers.host.boot_time();
             match call(peer, &request).await {
                 Ok(PeerReply::View(delta)) => merge_delta(&peers.host, peer, *delta, asked),
                 Ok(PeerReply::Peers(_)) => log::warn!("event=view_refused peer={peer}"),
@@ -228,13 +228,13 @@
 
     /// Fetches the hosts of a data centre from a peer that has newer state of them (anti-entropy).
     fn repair(self: &Rc<Self>) {
-        let now = self.host.now();
+        let now = self.host.boot_time();
         let Some(repair) = self.host.fleet.members.borrow_mut().repair(now) else { return };
         let host = self.host.clone();
         spawn_local(async move {
             match call(repair.peer, &PeerRequest::Peers(repair.data_centre)).await {
                 Ok(PeerReply::Peers(peers)) => {
-                    host.fleet.members.borrow_mut().merge(&peers, host.now());
+                    host.fleet.members.borrow_mut().merge(&peers, host.boot_time());
                 }
                 Ok(PeerReply::View(_)) => log::warn!("event=peers_refused peer={}", repair.peer),
                 Err(e) => log::debug!("event=peers_not_learnt error=\"{e}\""),
@@ -285,7 +285,7 @@
             if host.view.borrow().version() > 0 {
                 return;
             }
-            let asked = host.now();
+            let asked = host.boot_time();
             let own = host.view.borrow().summary(asked);
             let response =
                 tokio::time::timeout(STARTUP_TIMEOUT, call(*peer, &PeerRequest::View(own))).await;
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -49,9 +49,9 @@
     }
     loop {
         let max_staleness = host.max_staleness();
-        let age = host.view.borrow().age(host.now());
+        let age = host.view.borrow().age(host.boot_time());
         let fresh_for = age.map_or(Duration::ZERO, |age| max_staleness.saturating_sub(age));
-        if !fresh_for.is_zero() && !reader.removals.needs_listing(host.now()) {
+        if !fresh_for.is_zero() && !reader.removals.needs_listing(host.boot_time()) {
             if reader.backoff.is_failing() && !reader.covered {
                 reader.covered = true;
                 log::info!("event=store_covered by=hosts");
@@ -81,7 +81,7 @@
 
 impl Reader {
     async fn read(&mut self) -> Result<()> {
-        let start = self.host.now();
+        let start = self.host.boot_time();
         let age = self.host.view.borrow().age(start);
         let due = self.removals.needs_listing(start);
         if due || self.missed_changes || self.host.view.borrow().synced() == 0 {
@@ -90,7 +90,7 @@
         } else {
             self.read_changes(start).await?;
         }
-        self.removals.store_up(self.host.now());
+        self.removals.store_up(self.host.boot_time());
         self.log_read(start, age);
         if self.backoff.succeeded() {
             self.covered = false;
@@ -230,7 +230,7 @@
 
     /// Applies a change; true if it affects where requests may go.
     fn apply(&mut self, event: Event) -> bool {
-        let now = self.host.now();
+        let now = self.host.boot_time();
         let revision = event.revision;
         let gone = event.value.is_none();
         let item = self.read_item(&event);
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -90,7 +90,8 @@
         suspicion: SUSPICION_TIMEOUT,
         ..Timing::default()
     };
-    let mut members = Membership::new(&own, timing, clock.now(), clock.unix(), fastrand::u64(..));
+    let mut members =
+        Membership::new(&own, timing, clock.boot_time(), clock.unix(), fastrand::u64(..));
     members.set_seeds(settings.seed_hosts());
     members
 }
--- a/crates/policy/src/clock.rs
+++ b/crates/policy/src/clock.rs
@@ -1,17 +1,33 @@
 //! Injectable clocks.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Source of the time.
 pub trait Clock: Send + Sync {
     /// Monotonic time, for timeouts and measurements.
     fn now(&self) -> Instant;
 
+    /// Monotonic time that goes on while the machine is suspended, for the age of what is known of
+    /// the store and of other machines. It is not comparable with [`Clock::now`].
+    fn boot_time(&self) -> Instant {
+        self.now()
+    }
+
     /// Time since the Unix epoch, for deadlines that are sent to other machines.
     fn unix(&self) -> Duration;
 }
 
+/// A pair of simultaneous times, before or at the first use of the clock.
+static START: LazyLock<(Instant, Duration)> = LazyLock::new(|| (Instant::now(), since_boot()));
+
+/// Time since the machine was started, including that in which it was suspended.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::Boottime).try_into().unwrap_or_default()
+}
+
 /// The operating system's clocks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
@@ -21,6 +37,11 @@
         Instant::now()
     }
 
+    fn boot_time(&self) -> Instant {
+        let (start, boot) = *START;
+        start + since_boot().saturating_sub(boot)
+    }
+
     fn unix(&self) -> Duration {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
--- a/crates/sapphirerack/tests/view_age.rs
+++ b/crates/sapphirerack/tests/view_age.rs
@@ -6,12 +6,16 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use sapphirerack_policy::{Clock, SystemClock};
 use sapphirerack_protocol::{DATAGRAM_LIMIT, Datagram, PeerReply, Purpose, to_frame};
 use sapphirerack_routes::{Configuration, Delta, ViewSummary};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use platform_support::{Host, Store, configuration, unused_address};
 
@@ -24,11 +28,13 @@
 /// Time between two repetitions of a datagram.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A host that knows one other host, which the test plays.
+/// A store, and the only other host that a host under test knows, which the test plays.
 struct Setup {
     store: Store,
-    host: Host,
     peer: UdpSocket,
+    /// Addresses of the host under test.
+    callers: SocketAddr,
+    ready: SocketAddr,
     gossip: SocketAddr,
 }
 
@@ -41,18 +47,34 @@
     let gossip: SocketAddr = ([127, 0, 0, 2], port).into();
     let peer = UdpSocket::bind(("127.0.0.3", port)).unwrap();
     peer.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let settings = json!({
-        "name": "host-2", "data_centre": "here",
-        "listen": { "callers": callers, "ready": ready, "hosts": gossip },
-        "store": store.address, "seeds": [peer.local_addr().unwrap()],
-        "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
-    });
-    let host = Host::start_with_settings(callers, ready, &settings, Stdio::null());
-    host.await_ready();
-    Setup { store, host, peer, gossip }
+    Setup { store, peer, callers, ready, gossip }
 }
 
 impl Setup {
+    fn settings(&self) -> Value {
+        json!({
+            "name": "host-2", "data_centre": "here",
+            "listen": { "callers": self.callers, "ready": self.ready, "hosts": self.gossip },
+            "store": self.store.address, "seeds": [self.peer.local_addr().unwrap()],
+            "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
+        })
+    }
+
+    fn start_host(&self) -> Host {
+        let settings = self.settings();
+        let host = Host::start_with_settings(self.callers, self.ready, &settings, Stdio::null());
+        host.await_ready();
+        host
+    }
+
+    /// Starts a host with a clock of its own in this process; it runs until the process ends.
+    fn start_in_thread(&self, clock: Arc<dyn Clock>) {
+        let settings = sapphirerack_forward::from_text(&self.settings().to_string()).unwrap();
+        let dialect = sapphirerack_platform::dialect();
+        let serve = || sapphirerack_forward::serve(settings, Path::new(""), dialect, clock);
+        std::thread::spawn(|| serve().unwrap());
+    }
+
     /// Next datagram of the host that tells of a configuration.
     fn receive(&self) -> (Datagram, ViewSummary) {
         let mut bytes = [0; DATAGRAM_LIMIT];
@@ -97,13 +119,13 @@
     }
 
     /// Repeats a datagram until the host has a changed configuration in force.
-    fn time_to_adopt(&self, datagram: &Datagram) -> Duration {
+    fn time_to_adopt(&self, host: &Host, datagram: &Datagram) -> Duration {
         let bytes = datagram.encode().unwrap();
         let mut changed = configuration(2, &["s1"], "desk");
         changed["Routes"][1]["Prefix"] = "/added/".into();
         self.store.put("op/config", &changed);
         let start = Instant::now();
-        while self.host.get("/added/").status() == 404 {
+        while host.get("/added/").status() == 404 {
             assert!(start.elapsed() <= 2 * CONFIG_LIMIT, "the host never reads the store");
             self.peer.send_to(&bytes, self.gossip).unwrap();
             std::thread::sleep(REPEAT_INTERVAL);
@@ -116,9 +138,10 @@
 #[test]
 fn age_in_a_datagram_that_waited_is_not_taken_for_the_present_one() {
     let setup = setup();
+    let host = setup.start_host();
     let datagram = setup.fresh(Purpose::News);
 
-    let time = setup.time_to_adopt(&datagram);
+    let time = setup.time_to_adopt(&host, &datagram);
 
     assert!(time <= CONFIG_LIMIT, "{time:?}");
 }
@@ -127,6 +150,7 @@
 #[test]
 fn age_of_a_fetched_view_includes_the_time_that_it_was_under_way() {
     let setup = setup();
+    let _host = setup.start_host();
     let mut news = setup.fresh(Purpose::News);
     let summary: ViewSummary = postcard::from_bytes(&news.topics[0].bytes).unwrap();
     let newer = ViewSummary { version: 2, ..summary };
@@ -141,3 +165,45 @@
 
     assert!(u128::from(learnt.age) >= TRANSFER_TIME.as_millis(), "age {}", learnt.age);
 }
+
+/// Time for which the machine is suspended.
+const SUSPENSION: Duration = Duration::from_secs(60);
+
+/// The system's clock on a machine that has been suspended for some milliseconds.
+#[derive(Default)]
+struct SuspendedClock {
+    suspended: AtomicU64,
+}
+
+impl Clock for SuspendedClock {
+    fn now(&self) -> Instant {
+        SystemClock.now()
+    }
+
+    fn boot_time(&self) -> Instant {
+        SystemClock.boot_time() + Duration::from_millis(self.suspended.load(Ordering::Relaxed))
+    }
+
+    fn unix(&self) -> Duration {
+        SystemClock.unix()
+    }
+}
+
+/// Guards against a host that slept and takes its view for as young as before.
+#[test]
+fn age_of_a_view_includes_the_time_for_which_the_machine_was_suspended() {
+    let clock = Arc::new(SuspendedClock::default());
+    let setup = setup();
+    setup.start_in_thread(clock.clone());
+    let (_, before) = setup.receive();
+    assert!(u128::from(before.age) < SUSPENSION.as_millis());
+
+    setup.store.set_unavailable(true);
+    clock.suspended.store(SUSPENSION.as_millis() as u64, Ordering::Relaxed);
+
+    let limit = Instant::now() + CONFIG_LIMIT;
+    let has_aged = |s: &ViewSummary| u128::from(s.age) >= SUSPENSION.as_millis();
+    while !has_aged(&setup.receive().1) {
+        assert!(Instant::now() < limit, "the view counts as young");
+    }
+}
