Infer an outage of the store from failed reads, not from the first read of a host

What callers saw: requests sent to searchers for up to 3.8 s after their removal, 1 or 2 of them without success, by hosts that ran all the while. Cause: a host that reads the store for the first time lists it and took that for the end of an outage, so that it held removals back for 2.3 s, after the 2.2 s in which it waited for the lost readers. Ruled out: late reading (event=store_read at 11.6 s, 1.7 s after the removal) and slow listings. The first read and discarded history by themselves say nothing. A listing that is due confirms removals.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -116,7 +116,6 @@
             self.missed_changes = true;
             return Duration::ZERO;
         }
-        self.removals.store_down();
         if !self.backoff.is_failing() {
             log::warn!("event=store_lost error=\"{error}\"");
         }
@@ -133,7 +132,9 @@
             synced = synced.min(found.revision);
             events.extend(found.events);
         }
-        self.record_removals(&events, start);
+        let removals = events.iter().filter(|e| e.value.is_none());
+        let removed: Set<Name> = removals.filter_map(|e| self.read_target(e)).collect();
+        self.judge_answer(start, |id| removed.contains(id));
         let mut changed = false;
         for event in events {
             changed |= self.apply(event);
@@ -145,21 +146,21 @@
         Ok(())
     }
 
-    /// Records how many usable targets the events remove.
-    fn record_removals(&mut self, events: &[Event], start: Instant) {
+    /// Tells the guard what an answer of the store says of an outage; `is_removed` tells whether it
+    /// removes a target.
+    fn judge_answer(&mut self, start: Instant, is_removed: impl Fn(&Name) -> bool) {
         let view = self.host.view.borrow();
-        let usable: Set<&Name> = view.usable().map(|t| &t.id).collect();
-        let removed = events.iter().filter(|e| e.value.is_none()).map(|e| self.read_item(e));
-        let is_usable = |item: &Item| matches!(item, Item::Target(id, _) if usable.contains(id));
-        let count = removed.filter(is_usable).count();
-        self.removals.record_removals(count, usable.len(), view.age(start));
+        let age = view.age(start);
+        let (removed, kept): (Vec<_>, Vec<_>) = view.usable().partition(|t| is_removed(&t.id));
+        // A listing that is due confirms removals that were held back.
+        let is_due = self.removals.needs_listing(start);
+        self.removals.store_answered(self.backoff.is_failing(), age);
+        if !is_due {
+            self.removals.record_removals(removed.len(), removed.len() + kept.len(), age);
+        }
     }
 
     async fn list_all(&mut self, start: Instant) -> Result<()> {
-        if self.missed_changes && self.host.view.borrow().synced() > 0 {
-            // The missed removals may be expired entries of live targets.
-            self.removals.store_down();
-        }
         let content = self.host.view.borrow().content();
         let mut synced = u64::MAX;
         let mut keys: Set<String> = Set::default();
@@ -177,12 +178,10 @@
                 }
             }
         }
-        let mut targets: Set<Name> = Set::default();
+        let targets: Set<Name> = found.iter().filter_map(|e| self.read_target(e)).collect();
+        self.judge_answer(start, |id| !targets.contains(id));
         for event in found {
             keys.insert(event.key.clone());
-            if let Item::Target(id, _) = self.read_item(&event) {
-                targets.insert(id);
-            }
             self.apply(event);
         }
         self.remove_missing(&targets, &keys, content, synced, start);
@@ -228,6 +227,14 @@
         (self.host.dialect.store.read_item)(&event.key, value)
     }
 
+    /// Id of the target that an event is about, if it is about one.
+    fn read_target(&self, event: &Event) -> Option<Name> {
+        match self.read_item(event) {
+            Item::Target(id, _) => Some(id),
+            _ => None,
+        }
+    }
+
     /// Applies a change; true if it affects where requests may go.
     fn apply(&mut self, event: Event) -> bool {
         let now = self.host.boot_time();
--- a/crates/routes/src/lapse.rs
+++ b/crates/routes/src/lapse.rs
@@ -4,6 +4,10 @@
 //! expire. The targets are announced again soon after the store recovers. Until then removals are
 //! held back; then the store is listed in full, and targets still missing are removed.
 //!
+//! An outage is a time in which reads fail. A host whose own reads failed knows of it, unless another
+//! host has read the store meanwhile. That nobody read the store for a while is no sign of an outage:
+//! the host that reads for all may have been lost.
+//!
 //! A host that did not read the store during the outage infers it from the removals: so many
 //! targets rarely disappear between two reads of a store that is up. It does so only if no host has
 //! read the store for as long as an outage takes in which entries expire. Otherwise the targets have
@@ -21,9 +25,14 @@
 /// Shortest outage in which entries expire: less than the time that targets have to renew them.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
+/// Time between two renewals of an entry. An outage that is shorter costs one renewal at most, and
+/// an entry expires without three.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Decides whether removals are applied or held back.
 #[derive(Debug, Default)]
 pub struct RemovalGuard {
+    /// Whether the changes that are being applied follow an outage.
     down: bool,
     /// End of the time in which live targets are announced again.
     until: Option<Instant>,
@@ -32,9 +41,11 @@
 }
 
 impl RemovalGuard {
-    /// Records that the store did not answer.
-    pub fn store_down(&mut self) {
-        self.down = true;
+    /// Records that the store has answered a read that began `age` after a host last read it, `None`
+    /// if none is known to have; `failed` tells whether this host's read before had failed.
+    pub fn store_answered(&mut self, failed: bool, age: Option<Duration>) {
+        let was_read = age.is_some_and(|age| age < RENEWAL_INTERVAL);
+        self.down = failed && !was_read;
     }
 
     /// Records how many of the usable targets one read removes; `age` is the time since a host last
@@ -47,7 +58,7 @@
         }
     }
 
-    /// Records that the store answered.
+    /// Records that the changes of a read have been applied.
     pub fn store_up(&mut self, now: Instant) {
         if std::mem::take(&mut self.down) {
             self.until = Some(now + RENEWAL_TIME);
--- a/crates/routes/tests/lapse.rs
+++ b/crates/routes/tests/lapse.rs
@@ -48,3 +48,47 @@
     }
     assert!(after_removal(60, 127, None, now).hold(now), "a host that has just started");
 }
+
+/// Guard after an answer to a read that began `age` after a host last read the store.
+fn after_answer(failed: bool, age: u64, now: Instant) -> RemovalGuard {
+    let mut guard = RemovalGuard::default();
+    guard.store_answered(failed, Some(Duration::from_millis(age)));
+    guard.store_up(now);
+    guard
+}
+
+#[test]
+fn removal_is_held_back_after_reads_failed() {
+    let now = Instant::now();
+
+    let mut guard = after_answer(true, 2_400, now);
+
+    assert!(guard.hold(now));
+    assert!(guard.needs_listing(now + RENEWAL));
+}
+
+/// Guards against a lost reader of the store that is taken for an outage of the store.
+#[test]
+fn removal_is_applied_at_once_if_no_host_has_read_the_store_but_no_read_failed() {
+    let now = Instant::now();
+
+    assert!(!after_answer(false, 2_400, now).hold(now));
+}
+
+#[test]
+fn removal_is_applied_at_once_if_another_host_has_read_the_store_since_a_read_failed() {
+    let now = Instant::now();
+
+    assert!(!after_answer(true, 850, now).hold(now));
+}
+
+#[test]
+fn outage_is_over_with_the_next_answer() {
+    let now = Instant::now();
+    let mut guard = after_answer(true, 2_400, now);
+
+    guard.store_answered(false, Some(Duration::from_millis(850)));
+    guard.store_up(now + RENEWAL);
+
+    assert!(!guard.hold(now + RENEWAL));
+}
--- a/crates/sapphirerack/tests/gatherers.rs
+++ b/crates/sapphirerack/tests/gatherers.rs
@@ -6,13 +6,11 @@
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use sapphirerack_catalogue::Name;
 use sapphirerack_protocol::{GatherMessage, GatherQuery, GatherScope, PeerRequest, to_frame};
 use sapphirerack_routes::{Action, Gather, Route};
-use serde_json::json;
 
 use platform_support::{
     Host, Store, Target, TargetBehaviour, configuration, read_message, unused_address, wait_until,
@@ -46,7 +44,7 @@
     }
     // All hosts use the same port, each on an address of its own.
     let port = unused_address().port();
-    let start = |n, share| start(&store, "here", share, [127, 0, 0, n], port);
+    let start = |n, share| Host::start_member(&store, "here", share, n, port);
     let large = (1..=2).map(|n| start(n, 0.5)).collect();
     let small = (3..=5).map(|n| start(n, 0.1)).collect();
     let large_links = [1, 2].map(|n| ([127, 0, 0, n], port).into());
@@ -65,20 +63,6 @@
     config
 }
 
-fn start(store: &Store, centre: &str, share: f64, address: [u8; 4], port: u16) -> Host {
-    let hosts: SocketAddr = (address, port).into();
-    let seed: SocketAddr = ([127, 0, 0, 1], port).into();
-    let (callers, ready) = (unused_address(), unused_address());
-    let settings = json!({
-        "name": format!("host-{}", address[3]), "data_centre": centre,
-        "listen": { "callers": callers, "ready": ready, "hosts": hosts },
-        "store": store.address, "seeds": [seed],
-        "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
-        "machine": { "share": share, "cores": 1, "link": 100 },
-    });
-    Host::start_with_settings(callers, ready, &settings, Stdio::null())
-}
-
 impl Fleet {
     fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.large.iter().chain(&self.small)
@@ -226,7 +210,7 @@
     }
     let port = unused_address().port();
     let centres = [(1, "here"), (2, "there"), (3, "here")];
-    let hosts = centres.map(|(n, centre)| start(&store, centre, 0.5, [127, 0, 0, n], port));
+    let hosts = centres.map(|(n, centre)| Host::start_member(&store, centre, 0.5, n, port));
     hosts.iter().for_each(Host::await_ready);
     wait_until(|| query_is_delegated(&hosts[0]));
     (store, targets, hosts)
--- a/crates/sapphirerack/tests/platform_support/host.rs
+++ b/crates/sapphirerack/tests/platform_support/host.rs
@@ -41,6 +41,21 @@
         Self::start_with_settings(callers, ready, &settings, out)
     }
 
+    /// Starts the `n`th of several hosts on a machine with this share of a core. All of them use
+    /// the same port, each on an address of its own; the first one is the seed.
+    pub fn start_member(store: &Store, centre: &str, share: f64, n: u8, port: u16) -> Self {
+        let address = |n: u8| SocketAddr::from(([127, 0, 0, n], port));
+        let (callers, ready) = (unused_address(), unused_address());
+        let settings = json!({
+            "name": format!("host-{n}"), "data_centre": centre,
+            "listen": { "callers": callers, "ready": ready, "hosts": address(n) },
+            "store": store.address, "seeds": [address(1)],
+            "bounds": { "extra": 0.2, "slack": 50.0 }, "stop": { "grace": 6, "linger": "300ms" },
+            "machine": { "share": share, "cores": 1, "link": 100 },
+        });
+        Self::start_with_settings(callers, ready, &settings, Stdio::null())
+    }
+
     /// Starts a host with complete settings, which contain both addresses.
     pub fn start_with_settings(
         callers: SocketAddr,
--- /dev/null
+++ b/crates/sapphirerack/tests/removals.rs
@@ -0,0 +1,78 @@
+//! Removals of targets while the host that reads the store for all changes.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+mod platform_support;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use platform_support::{Host, Store, Target, TargetBehaviour, configuration, unused_address};
+
+/// Time after which a removed target must get no requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time for which the target is watched beyond that.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
+/// Pause between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time in which hosts of one data centre learn of each other and share their views.
+const MEETING_TIME: Duration = Duration::from_millis(1_500);
+
+/// Two hosts of one data centre, of which the first reads the store, and two targets.
+struct Setup {
+    store: Store,
+    targets: [Target; 2],
+    reader: Host,
+    other: Host,
+}
+
+fn setup() -> Setup {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &["s1"], "desk"));
+    let targets = [1, 2].map(|n| Target::start(&[n], TargetBehaviour::Normal));
+    for target in &targets {
+        store.put(&key(target), &target.announcement("desk"));
+    }
+    let port = unused_address().port();
+    let start = |n| Host::start_member(&store, "here", 0.5, n, port);
+    let reader = start(1);
+    reader.await_ready();
+    let other = start(2);
+    other.await_ready();
+    thread::sleep(MEETING_TIME);
+    Setup { store, targets, reader, other }
+}
+
+fn key(target: &Target) -> String {
+    format!("servers/{}", target.id)
+}
+
+/// Requests that the targets get from `host` later than [`DRAIN_LIMIT`] after their removal.
+fn late_requests(store: &Store, targets: &[Target], host: &Host) -> usize {
+    let count = || targets.iter().map(|t| t.requests().len()).sum::<usize>();
+    assert_eq!(host.get("/read/x").status(), 200);
+    targets.iter().for_each(|t| store.remove(&key(t)));
+    let removed = Instant::now();
+    let mut before = count();
+    while removed.elapsed() < DRAIN_LIMIT + WATCH_TIME {
+        host.get("/read/x");
+        if removed.elapsed() < DRAIN_LIMIT {
+            before = count();
+        }
+        thread::sleep(REQUEST_INTERVAL);
+    }
+    count() - before
+}
+
+/// Guards against removals that are held back as after an outage when only the reading host changes.
+#[test]
+fn removed_target_gets_no_late_requests_when_the_reader_is_lost() {
+    let Setup { store, targets, reader, other } = setup();
+
+    reader.signal("-KILL");
+
+    assert_eq!(late_requests(&store, &targets, &other), 0);
+}
