Repeat a call to the store on a new connection if a kept one has failed

Cause: a host that becomes the reader of the store uses a connection from its last read. The store has closed it meanwhile, and the host took the broken call for an outage. Change: a call that breaks or times out on a kept connection is made once more on a new one. Errors tell a broken connection from an answer that can't be read. Conclusion: what an idle connection suffered says nothing of the store.

--- a/crates/forward/src/error.rs
+++ b/crates/forward/src/error.rs
@@ -17,6 +17,8 @@
     Peer,
     /// A peer did not answer in time.
     Timeout,
+    /// The connection to a peer broke before its answer was complete.
+    Broken,
     /// The peer has discarded the requested history.
     Expired,
 }
@@ -45,6 +47,8 @@
     Timeout,
     #[error("status {0}")]
     Status(u16),
+    #[error("connection broken: {0}")]
+    Broken(String),
     #[error("malformed: {0}")]
     Malformed(String),
     #[error("{0}")]
@@ -87,6 +91,11 @@
         Self::new(step, Some(peer.to_string().into()), Code::Status(status))
     }
 
+    #[cold]
+    pub(crate) fn broken(step: &'static str, peer: impl ToString, reason: String) -> Self {
+        Self::new(step, Some(peer.to_string().into()), Code::Broken(reason))
+    }
+
     #[cold]
     pub(crate) fn malformed(step: &'static str, peer: impl ToString, reason: String) -> Self {
         Self::new(step, Some(peer.to_string().into()), Code::Malformed(reason))
@@ -104,6 +113,7 @@
             Code::Io(_) | Code::Metrics(_) => Category::System,
             Code::Status(410) => Category::Expired,
             Code::Timeout => Category::Timeout,
+            Code::Broken(_) => Category::Broken,
             Code::Http(_) | Code::Status(_) | Code::Malformed(_) => Category::Peer,
         }
     }
--- a/crates/forward/src/store.rs
+++ b/crates/forward/src/store.rs
@@ -10,7 +10,7 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::client::Connection;
-use crate::{Error, Events, Page, Result, StoreDialect};
+use crate::{Category, Error, Events, Page, Result, StoreDialect};
 
 /// Timeout of a call, including the connection attempt.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -49,16 +49,34 @@
     }
 
     async fn get(&mut self, step: &'static str, path: String) -> Result<Bytes> {
+        let kept = self.connection.take();
+        let is_kept = kept.is_some();
+        match self.call_in_time(step, &path, kept).await {
+            // A connection that idled may have been closed or gone silent, which says nothing of the
+            // store.
+            Err(e) if is_kept && matches!(e.classify(), Category::Broken | Category::Timeout) => {
+                log::info!("event=store_connection_stale error=\"{e}\"");
+                self.call_in_time(step, &path, None).await
+            }
+            result => result,
+        }
+    }
+
+    async fn call_in_time(
+        &mut self,
+        step: &'static str,
+        path: &str,
+        open: Option<Connection>,
+    ) -> Result<Bytes> {
         // A timeout drops the connection: a late answer must not be taken for the next one.
-        let connection = self.connection.take();
-        let result = tokio::time::timeout(CALL_TIMEOUT, self.call(step, path, connection)).await;
+        let result = tokio::time::timeout(CALL_TIMEOUT, self.call(step, path, open)).await;
         result.map_err(|_| Error::timeout(step, self.address))?
     }
 
     async fn call(
         &mut self,
         step: &'static str,
-        path: String,
+        path: &str,
         open: Option<Connection>,
     ) -> Result<Bytes> {
         let mut connection = match open {
@@ -67,12 +85,12 @@
         };
         let mut request = Request::new(Full::default());
         *request.uri_mut() =
-            path.parse().map_err(|_| Error::malformed(step, self.address, path))?;
+            path.parse().map_err(|_| Error::malformed(step, self.address, path.to_owned()))?;
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
         let answer = connection.send(request, &self.answers).await;
-        let answer = answer.map_err(|e| Error::malformed(step, self.address, e.reason))?;
+        let answer = answer.map_err(|e| Error::broken(step, self.address, e.reason))?;
         match answer.head.status.as_u16() {
             200 => {
                 self.connection = connection.is_open().then_some(connection);
--- a/crates/sapphirerack/tests/platform_support/store.rs
+++ b/crates/sapphirerack/tests/platform_support/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 
 use serde_json::{Value, json};
@@ -23,14 +23,17 @@
 pub struct Store {
     pub address: SocketAddr,
     items: Arc<Mutex<Items>>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let items: Arc<Mutex<Items>> = Arc::default();
-        let shared = items.clone();
+        let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (shared, open) = (items.clone(), connections.clone());
         let address = listen(move |stream| {
             let mut out = stream.try_clone().unwrap();
+            open.lock().unwrap().push(stream.try_clone().unwrap());
             let mut reader = BufReader::new(stream);
             while let Some(request) = read_message(&mut reader) {
                 let reply = reply(&shared.lock().unwrap(), request.path());
@@ -39,7 +42,7 @@
                 }
             }
         });
-        Self { address, items }
+        Self { address, items, connections }
     }
 
     pub fn put(&self, key: &str, value: &Value) {
@@ -62,6 +65,14 @@
         items.events.push((key.to_owned(), revision, None));
     }
 
+    /// Closes all connections, as after an idle timeout.
+    pub fn close_connections(&self) {
+        for connection in self.connections.lock().unwrap().drain(..) {
+            // The peer may have closed it.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Answers every request with 503 while unavailable.
     pub fn set_unavailable(&self, unavailable: bool) {
         self.items.lock().unwrap().unavailable = unavailable;
--- a/crates/sapphirerack/tests/removals.rs
+++ b/crates/sapphirerack/tests/removals.rs
@@ -21,6 +21,9 @@
 /// Time in which hosts of one data centre learn of each other and share their views.
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after which the second host reads the store itself, and a little more.
+const READER_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// Two hosts of one data centre, of which the first reads the store, and two targets.
 struct Setup {
     store: Store,
@@ -76,3 +79,18 @@
 
     assert_eq!(late_requests(&store, &targets, &other), 0);
 }
+
+/// Guards against a connection that the store closed while it idled, taken for an outage.
+#[test]
+fn removed_target_gets_no_late_requests_when_the_next_reader_has_an_idle_connection() {
+    let Setup { store, targets, reader, other } = setup();
+    reader.signal("-STOP");
+    thread::sleep(READER_TIMEOUT);
+    reader.signal("-CONT");
+    thread::sleep(MEETING_TIME);
+
+    store.close_connections();
+    reader.signal("-KILL");
+
+    assert_eq!(late_requests(&store, &targets, &other), 0);
+}
