Count the memory of an answer, not its bytes

Cause: the pieces of a body were kept until its end and counted by their bytes. A faulty target that sends chunks of one byte takes about 40 bytes of memory for each that is counted. Change: pieces are copied into one buffer, whose capacity is counted.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -126,21 +126,31 @@
     mut body: Incoming,
     memory: &mut Reservation,
 ) -> std::result::Result<Bytes, String> {
-    let mut size = 0;
-    let mut pieces: Vec<Bytes> = Vec::new();
+    let mut bytes: Vec<u8> = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| e.to_string())?;
         let Ok(piece) = frame.into_data() else { continue };
-        size += piece.len();
-        if size > MAX_ANSWER || !memory.grow(piece.len()) {
+        let size = bytes.len() + piece.len();
+        if size > MAX_ANSWER || !make_room(&mut bytes, size, memory) {
             return Err(format!("answer of {size} bytes or more is too large"));
         }
-        pieces.push(piece);
+        // A piece that is kept would keep the whole buffer that it was read into.
+        bytes.extend_from_slice(&piece);
     }
-    match pieces.len() {
-        1 => Ok(pieces.remove(0)),
-        _ => Ok(pieces.concat().into()),
+    Ok(bytes.into())
+}
+
+/// Makes room for `size` bytes in sum; false if the memory does not suffice.
+fn make_room(bytes: &mut Vec<u8>, size: usize, memory: &mut Reservation) -> bool {
+    if size <= bytes.capacity() {
+        return true;
+    }
+    let capacity = size.max(2 * bytes.capacity()).min(MAX_ANSWER);
+    let fits = memory.grow(capacity - bytes.capacity());
+    if fits {
+        bytes.reserve_exact(capacity - bytes.len());
     }
+    fits
 }
 
 /// Outcome of sending a request.
--- a/crates/sapphirerack/tests/platform_support/target.rs
+++ b/crates/sapphirerack/tests/platform_support/target.rs
@@ -52,10 +52,25 @@
     EndlessHead,
     /// Sends a body without end.
     EndlessBody,
+    /// Sends a body without end, in chunks of one byte.
+    EndlessChunks,
+    /// Sends a chunk extension without end.
+    EndlessExtension,
+    /// Sends trailers without end.
+    EndlessTrailers,
+    /// Sends interim responses without end.
+    EndlessInterim,
     /// Sends the response again, without an id, when the next request has come.
     LateCopy,
 }
 
+/// Beginning of a signed response in chunks.
+macro_rules! chunked {
+    ($body:literal) => {
+        concat!("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", $body)
+    };
+}
+
 impl TargetBehaviour {
     /// Whether the request is refused as not executed.
     fn is_refusal(self) -> bool {
@@ -69,6 +84,10 @@
             Self::EndlessBody => {
                 Some(("HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n", "0123456789abcdef"))
             }
+            Self::EndlessChunks => Some((chunked!(""), "1\r\nx\r\n")),
+            Self::EndlessExtension => Some((chunked!("1;"), "0123456789")),
+            Self::EndlessTrailers => Some((chunked!("0\r\n"), "x-more: 0123456789\r\n")),
+            Self::EndlessInterim => Some(("", "HTTP/1.1 102 Processing\r\n\r\n")),
             _ => None,
         }
     }
@@ -265,6 +284,10 @@
         | TargetBehaviour::DisconnectThenRefuse
         | TargetBehaviour::EndlessHead
         | TargetBehaviour::EndlessBody
+        | TargetBehaviour::EndlessChunks
+        | TargetBehaviour::EndlessExtension
+        | TargetBehaviour::EndlessTrailers
+        | TargetBehaviour::EndlessInterim
         | TargetBehaviour::Hang => None,
         TargetBehaviour::WrongAttempt => {
             let headers = [("Attempt-Id", "another"), ("Server-Seal", seal.as_str())];
--- a/crates/sapphirerack/tests/targets_in_trouble.rs
+++ b/crates/sapphirerack/tests/targets_in_trouble.rs
@@ -18,6 +18,10 @@
 /// Most memory that a host may take while its targets send without end, in KiB.
 const MAX_MEMORY_KIB: u64 = 120 << 10;
 
+/// Answers in tiny chunks at the same time, and the time for which they are read.
+const CHUNKED_ANSWERS: usize = 12;
+const CHUNKS_TIME: Duration = Duration::from_secs(24);
+
 /// A host, and a service of three targets that is also its only shard's.
 struct Setup {
     store: Store,
@@ -203,7 +207,14 @@
 
 #[test]
 fn answers_without_end_are_ended_with_the_request() {
-    for behaviour in [TargetBehaviour::EndlessHead, TargetBehaviour::EndlessBody] {
+    for behaviour in [
+        TargetBehaviour::EndlessHead,
+        TargetBehaviour::EndlessBody,
+        TargetBehaviour::EndlessChunks,
+        TargetBehaviour::EndlessExtension,
+        TargetBehaviour::EndlessTrailers,
+        TargetBehaviour::EndlessInterim,
+    ] {
         let Setup { targets, host, store: _store } = setup();
         targets.iter().for_each(|t| t.set_behaviour(behaviour));
 
@@ -219,15 +230,31 @@
             callers.into_iter().map(|c| c.join().unwrap().unwrap().status()).collect::<Vec<_>>()
         });
 
-        assert!(answers.iter().all(|status| [502, 504].contains(status)), "{answers:?}");
+        let is_failure = |status: &u16| [502, 504].contains(status);
+        assert!(answers.iter().all(is_failure), "{behaviour:?}: {answers:?}");
         let sent: usize = counts(&targets).iter().sum();
         wait_until(|| targets.iter().map(Target::aborted).sum::<usize>() == sent);
-        assert!(host.peak_memory_kib() < MAX_MEMORY_KIB, "{} KiB", host.peak_memory_kib());
+        let memory = host.peak_memory_kib();
+        assert!(memory < MAX_MEMORY_KIB, "{behaviour:?}: {memory} KiB");
         targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::Normal));
         wait_until(|| host.get("/read/x").status() == 200);
     }
 }
 
+/// Guards against an answer that takes far more memory than it has bytes.
+#[test]
+fn answers_in_tiny_chunks_take_bounded_memory() {
+    let Setup { targets, host, store: _store } = setup();
+    targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::EndlessChunks));
+
+    let callers: Vec<_> = (0..CHUNKED_ANSWERS).map(|_| host.start_get("/long/x")).collect();
+    thread::sleep(CHUNKS_TIME);
+    let memory = host.peak_memory_kib();
+    drop(callers);
+
+    assert!(memory < MAX_MEMORY_KIB, "{memory} KiB");
+}
+
 #[test]
 fn odd_entries_of_another_writer_do_not_stop_the_host_or_hide_other_entries() {
     let Setup { targets, host, store } = setup();
