Refuse requests that come too late to be answered before the host stops

Cause: the end of the grace was a notification, which reaches only the requests that wait for it at that moment. A request whose last bytes came after it, on a connection that part of it had kept open, was passed on, and cut when the process ended 0.3 s later. Ruled out: new connections (the listener is closed), idle ones (closed), requests in flight (answered 504). Change: the time of the end is state that every request reads. One that has less than its latency objective left, or whose body has not come by then, gets 503 with Retry-After and is not passed on. Conclusion: no request is passed on without time to answer it.

--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -12,15 +12,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::client::empty;
 use crate::host::Host;
 use crate::request::answer;
 
 /// Delay before the next accept after an error such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time before the end of the grace period at which requests in flight are answered with 504.
-const CLOSING_TIME: Duration = Duration::from_millis(600);
+/// Time in which the last answers are written.
+const WRITE_TIME: Duration = Duration::from_millis(300);
 
 /// Least buffer size that the HTTP library accepts, in bytes.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
@@ -52,14 +51,14 @@
         serve(&host, stream, &graceful);
     }
     drop(listener);
-    let stop = host.settings.borrow().stop.clone();
-    let left = Duration::from_secs(stop.grace).saturating_sub(CLOSING_TIME + stop.linger);
-    let closed = graceful.shutdown();
-    tokio::pin!(closed);
-    if tokio::time::timeout(left, &mut closed).await.is_err() {
-        host.grace_over.notify_waiters();
-        let result = tokio::time::timeout(CLOSING_TIME / 2, closed).await;
-        log::info!("event=stopped clean={}", result.is_ok());
+    let finished = graceful.shutdown();
+    tokio::pin!(finished);
+    tokio::select! {
+        () = &mut finished => {}
+        () = host.closed() => {
+            let result = tokio::time::timeout(WRITE_TIME, finished).await;
+            log::info!("event=stopped clean={}", result.is_ok());
+        }
     }
 }
 
@@ -72,14 +71,7 @@
         let host = host.clone();
         move |request| {
             let (host, first) = (host.clone(), first.replace(false));
-            async move {
-                let reply = tokio::select! {
-                    biased;
-                    reply = answer(host.clone(), request, first) => reply,
-                    () = host.grace_over.notified() => empty(504),
-                };
-                Ok::<_, Infallible>(reply)
-            }
+            async move { Ok::<_, Infallible>(answer(host, request, first).await) }
         }
     });
     let mut builder = http1::Builder::new();
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -11,7 +11,7 @@
 };
 use sapphirerack_policy::{Clock, Membership};
 use sapphirerack_routes::{Departure, Departures, Route, Service, Target, View};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::answer_memory::AnswerMemory;
 use crate::client::Pool;
@@ -24,6 +24,9 @@
 /// Initial estimate of a route's latency, as a share of its latency objective.
 const INITIAL_LATENCY: f64 = 0.2;
 
+/// Time before the end of the grace period at which requests in flight are answered.
+pub(crate) const CLOSING_TIME: Duration = Duration::from_millis(600);
+
 /// Lifecycle phase of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -66,9 +69,10 @@
     pub departed: Notify,
     /// Notified when the shutdown starts.
     pub stopping: Notify,
-    /// Notified when requests in flight must be answered because the process is about to exit.
-    pub grace_over: Notify,
     phase: Cell<Phase>,
+    /// When requests in flight must be answered, as the process is about to exit; unset while it
+    /// does not stop.
+    closing: watch::Sender<Option<Instant>>,
     departures: RefCell<Departures>,
     services: RefCell<Map<Name, Balancer>>,
     latencies: RefCell<Map<Name, LatencyEstimator>>,
@@ -103,8 +107,8 @@
             slow_changed: Notify::new(),
             departed: Notify::new(),
             stopping: Notify::new(),
-            grace_over: Notify::new(),
             phase: Cell::new(Phase::Starting),
+            closing: watch::Sender::new(None),
             departures: RefCell::default(),
             services: RefCell::default(),
             latencies: RefCell::default(),
@@ -129,10 +133,28 @@
     /// Starts the shutdown.
     pub(crate) fn leave(&self) {
         self.phase.set(Phase::Leaving);
+        let grace = Duration::from_secs(self.settings.borrow().stop.grace);
+        self.closing.send_replace(Some(self.now() + grace.saturating_sub(CLOSING_TIME)));
         self.fleet.members.borrow_mut().leave(self.boot_time());
         self.stopping.notify_waiters();
     }
 
+    /// When requests in flight must be answered, if the host is stopping.
+    pub(crate) fn closing(&self) -> Option<Instant> {
+        *self.closing.borrow()
+    }
+
+    /// Waits until requests in flight must be answered.
+    pub(crate) async fn closed(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as the host, so that there is no error.
+        if let Ok(at) = closing.wait_for(Option::is_some).await.map(|at| *at)
+            && let Some(at) = at
+        {
+            tokio::time::sleep_until(at.into()).await;
+        }
+    }
+
     /// Updates what depends on the view, the settings or the number of hosts.
     pub(crate) fn update(&self) {
         let now = self.now();
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -90,7 +90,16 @@
         return empty(400);
     };
     let limit = table.configuration().limits.body;
-    let body = match read_body(body, limit).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, limit) => body,
+        () = host.closed() => return refuse_at_stop(host, &head),
+    };
+    let has_time = |closing: Instant| host.now() + route.aim < closing;
+    if !host.closing().is_none_or(has_time) {
+        return refuse_at_stop(host, &head);
+    }
+    let body = match body {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
             log_rejected(host, &head, 413, "body too large");
@@ -112,11 +121,22 @@
         deadline: start + timeout,
         route: route.clone(),
     });
-    let reply = run(host, &call, new_connection).await;
+    let attempts = Attempts::default();
+    let reply = tokio::select! {
+        biased;
+        reply = run(host, &call, new_connection, &attempts) => reply,
+        () = host.closed() => fail(host, &call, 504, "end of the grace period", &attempts),
+    };
     host.metrics.record_answer(&route.name, reply.status().as_u16(), host.now() - start);
     reply
 }
 
+/// Refuses a request that comes too late to be answered before the host stops.
+fn refuse_at_stop(host: &Host, head: &Parts) -> Reply {
+    log_rejected(host, head, 503, "stopping");
+    unavailable(MIN_RETRY_AFTER)
+}
+
 /// Counts and logs a request that was rejected before it was routed or read.
 fn log_rejected(host: &Host, head: &Parts, status: u16, reason: &'static str) {
     host.metrics.count_rejection(reason);
@@ -162,8 +182,7 @@
     forwarded
 }
 
-async fn run(host: &Rc<Host>, call: &Rc<Call>, new_connection: bool) -> Reply {
-    let attempts = Attempts::default();
+async fn run(host: &Rc<Host>, call: &Rc<Call>, new_connection: bool, attempts: &Attempts) -> Reply {
     let reply = match &call.route.action {
         Action::Forward(services) => {
             let service = host.with_split(&call.route, |s| s.next(services).cloned());
@@ -171,17 +190,17 @@
                 match &service {
                     Some(service) => {
                         let max_targets = call.route.attempts;
-                        send_to_service(host, call, service, max_targets, &attempts).await
+                        send_to_service(host, call, service, max_targets, attempts).await
                     }
                     None => None,
                 }
             };
             match tokio::time::timeout_at(call.deadline.into(), sending).await {
-                Ok(outcome) => forward_reply(host, call, service.as_ref(), outcome, &attempts),
-                Err(_) => fail(host, call, 504, "deadline", &attempts),
+                Ok(outcome) => forward_reply(host, call, service.as_ref(), outcome, attempts),
+                Err(_) => fail(host, call, 504, "deadline", attempts),
             }
         }
-        Action::Gather(shards) => gather_reply(host, call, shards, new_connection, &attempts).await,
+        Action::Gather(shards) => gather_reply(host, call, shards, new_connection, attempts).await,
     };
     attempts.mark_answered();
     reply
