Show that an answer cut in its head is never a success

Cause: none found. Another operator reports 200 with an empty or short body, framed as whole, when a searcher stops in the middle of its answer's head and closes. Ruled out, by the new test: every cut of a head with a length, in chunks, and that ends with the connection, through a read, a query over a shard and a request that must not be repeated: no 2xx, and each target was asked. A whole head whose body ends with the connection is a whole answer, as the protocol says.

--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -20,7 +20,7 @@
 pub use message::{Message, encode_request, read_message};
 pub use store::Store;
 #[allow(unused_imports, reason = "each test file uses a part")]
-pub use target::{Target, TargetBehaviour};
+pub use target::{Framing, Target, TargetBehaviour};
 
 const WAIT_LIMIT: Duration = Duration::from_secs(15);
 
--- a/crates/sapphirerack/tests/platform_support/target.rs
+++ b/crates/sapphirerack/tests/platform_support/target.rs
@@ -48,6 +48,8 @@
     LeavingRefusal,
     /// Refuses the request and wants no other one for this time.
     HoldOff(Duration),
+    /// Sends this many bytes of a head with this framing and closes the connection.
+    CutHead(Framing, usize),
     /// Sends a head without end.
     EndlessHead,
     /// Sends a body without end.
@@ -64,6 +66,29 @@
     LateCopy,
 }
 
+/// How a response says where its body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length,
+    Chunks,
+    /// It ends with the connection.
+    Close,
+}
+
+impl Framing {
+    /// Head of a success that is signed before its framing is stated.
+    pub fn head(self) -> String {
+        let framing = match self {
+            Self::Length => "Content-Length: 32\r\n",
+            Self::Chunks => "Transfer-Encoding: chunked\r\n",
+            Self::Close => "Connection: close\r\n",
+        };
+        format!(
+            "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: {DEFAULT_ATTEMPT}\r\n{framing}\r\n"
+        )
+    }
+}
+
 /// Beginning of a signed response in chunks.
 macro_rules! chunked {
     ($body:literal) => {
@@ -159,6 +184,10 @@
                     let attempt = request.header("attempt-id").unwrap_or_default();
                     attempts.lock().unwrap().push(attempt.to_owned());
                 }
+                if let TargetBehaviour::CutHead(framing, len) = behaviour {
+                    let _ = out.write_all(&framing.head().as_bytes()[..len]);
+                    return;
+                }
                 if let Some((start, rest)) = behaviour.endless_reply() {
                     aborts.fetch_add(write_endlessly(&mut out, start, rest), Ordering::Relaxed);
                     return;
@@ -282,6 +311,7 @@
         TargetBehaviour::Disconnect
         | TargetBehaviour::DisconnectFirst(_)
         | TargetBehaviour::DisconnectThenRefuse
+        | TargetBehaviour::CutHead(..)
         | TargetBehaviour::EndlessHead
         | TargetBehaviour::EndlessBody
         | TargetBehaviour::EndlessChunks
--- a/crates/sapphirerack/tests/targets_in_trouble.rs
+++ b/crates/sapphirerack/tests/targets_in_trouble.rs
@@ -11,7 +11,7 @@
 
 use serde_json::json;
 
-use platform_support::{Host, Store, Target, TargetBehaviour, configuration, wait_until};
+use platform_support::{Framing, Host, Store, Target, TargetBehaviour, configuration, wait_until};
 
 const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
 
@@ -255,6 +255,38 @@
     assert!(memory < MAX_MEMORY_KIB, "{memory} KiB");
 }
 
+/// Guards against an answer that is cut in its head and passed on as a whole one.
+#[test]
+fn answer_that_is_cut_in_its_head_is_never_a_success() {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &SHARDS[..1], "desk"));
+    let services = [SHARDS[0], "desk"];
+    let targets = services.map(|_| Target::start(&[1], TargetBehaviour::Normal));
+    for (target, service) in targets.iter().zip(services) {
+        store.put(&format!("servers/{}", target.id), &target.announcement(service));
+    }
+    let host = Host::start(&store);
+    host.await_ready();
+
+    for framing in [Framing::Length, Framing::Chunks, Framing::Close] {
+        // A whole head whose body ends with the connection is a whole answer.
+        let is_whole = |len| framing == Framing::Close && len == framing.head().len();
+        for len in (0..=framing.head().len()).filter(|len| !is_whole(*len)) {
+            targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::CutHead(framing, len)));
+            let before = counts(&targets);
+            for path in ["/read/x", "/query/x", "/long/x"] {
+                let status = host.get(path).status();
+                assert!(status >= 500, "{status} for {path} after {len} bytes, {framing:?}");
+            }
+            let after = counts(&targets);
+            assert!(after.iter().zip(&before).all(|(a, b)| a > b), "all targets were asked");
+        }
+    }
+    let len = Framing::Close.head().len();
+    targets.iter().for_each(|t| t.set_behaviour(TargetBehaviour::CutHead(Framing::Close, len)));
+    wait_until(|| host.get("/read/x").status() == 200);
+}
+
 #[test]
 fn odd_entries_of_another_writer_do_not_stop_the_host_or_hide_other_entries() {
     let Setup { targets, host, store } = setup();
