--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -55,7 +55,7 @@
     tokio::pin!(finished);
     tokio::select! {
         () = &mut finished => {}
-        () = host.closed() => {
+        () = host.await_closing() => {
             let result = tokio::time::timeout(WRITE_TIME, finished).await;
             log::info!("event=stopped clean={}", result.is_ok());
         }
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -25,7 +25,7 @@
 const INITIAL_LATENCY: f64 = 0.2;
 
 /// Time before the end of the grace period at which requests in flight are answered.
-pub(crate) const CLOSING_TIME: Duration = Duration::from_millis(600);
+const CLOSING_TIME: Duration = Duration::from_millis(600);
 
 /// Lifecycle phase of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -145,7 +145,7 @@
     }
 
     /// Waits until requests in flight must be answered.
-    pub(crate) async fn closed(&self) {
+    pub(crate) async fn await_closing(&self) {
         let mut closing = self.closing.subscribe();
         // The sender lives as long as the host, so that there is no error.
         if let Ok(at) = closing.wait_for(Option::is_some).await.map(|at| *at)
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -93,10 +93,9 @@
     let body = tokio::select! {
         biased;
         body = read_body(body, limit) => body,
-        () = host.closed() => return refuse_at_stop(host, &head),
+        () = host.await_closing() => return refuse_at_stop(host, &head),
     };
-    let has_time = |closing: Instant| host.now() + route.aim < closing;
-    if !host.closing().is_none_or(has_time) {
+    if host.closing().is_some_and(|closing| host.now() + route.aim >= closing) {
         return refuse_at_stop(host, &head);
     }
     let body = match body {
@@ -125,7 +124,7 @@
     let reply = tokio::select! {
         biased;
         reply = run(host, &call, new_connection, &attempts) => reply,
-        () = host.closed() => fail(host, &call, 504, "end of the grace period", &attempts),
+        () = host.await_closing() => fail(host, &call, 504, "end of the grace period", &attempts),
     };
     host.metrics.record_answer(&route.name, reply.status().as_u16(), host.now() - start);
     reply
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -45,7 +45,7 @@
     /// Membership that starts with this host alone.
     pub(crate) fn new(own: Host, clock: Arc<dyn Clock>, timing: Timing) -> Arc<Self> {
         let seed = fastrand::u64(..);
-        let start = clock.now();
+        let start = clock.boot_time();
         let membership = Membership::new(&own, timing, start, clock.unix(), seed);
         let live = RwLock::new(Arc::from([own.clone()]));
         let epoch = AtomicU64::new(membership.epoch());
@@ -73,7 +73,7 @@
     ///
     /// Before that it would consider itself the owner of every group.
     pub(crate) fn is_joined(&self) -> bool {
-        let waited = self.clock.now().saturating_duration_since(self.start);
+        let waited = self.clock.boot_time().saturating_duration_since(self.start);
         self.joined.load(Ordering::Acquire) || waited >= JOIN_TIMEOUT
     }
 
@@ -97,7 +97,7 @@
 
     /// Announces that this host leaves, so that others send it no new work.
     pub(crate) fn announce_leaving(&self) {
-        let now = self.clock.now();
+        let now = self.clock.boot_time();
         self.update(|m| m.leave(now));
     }
 
@@ -115,19 +115,19 @@
 
     /// Datagrams of a periodic gossip round.
     pub(crate) fn tick(&self) -> Vec<Outgoing> {
-        let now = self.clock.now();
+        let now = self.clock.boot_time();
         self.update(|m| m.tick(now))
     }
 
     /// Datagrams of an urgent round, to at most `fanout` hosts.
     pub(crate) fn gossip(&self, fanout: usize) -> Vec<Outgoing> {
-        let now = self.clock.now();
+        let now = self.clock.boot_time();
         self.update(|m| m.gossip(now, fanout))
     }
 
     /// Handles a datagram; returns the replies.
     pub(crate) fn receive(&self, source: SocketAddr, datagram: &Datagram) -> Vec<Outgoing> {
-        let now = self.clock.now();
+        let now = self.clock.boot_time();
         self.update(|m| m.receive(source, datagram, now))
     }
 
@@ -138,17 +138,17 @@
 
     /// View to fetch from another host, if one is due.
     pub(crate) fn repair(&self) -> Option<Repair> {
-        self.membership().repair(self.clock.now())
+        self.membership().repair(self.clock.boot_time())
     }
 
     /// This host's view of a data centre.
     pub(crate) fn view(&self, data_centre: &str) -> Vec<Peer> {
-        self.membership().view(data_centre, self.clock.now())
+        self.membership().view(data_centre, self.clock.boot_time())
     }
 
     /// Merges another host's view.
     pub(crate) fn merge(&self, peers: &[Peer]) {
-        let now = self.clock.now();
+        let now = self.clock.boot_time();
         self.update(|m| m.merge(peers, now));
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,7 +27,8 @@
 //! - `ramp`: warm-up of a cold target
 //! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `membership`: heartbeats, failure detection and announced leaving
-//! - `roster`, `updates`, `probes`: state of the membership: view, updates to gossip, probes
+//! - `roster`, `updates`, `probes`, `contacts`: state of the membership: view, updates to gossip,
+//!   probes, last contacts with data centres
 //! - `event`: events and actions of the owner of a booking partition
 //! - `log_copy`: in-memory copy of a partition's log
 //! - `ledger`: the owner of one booking partition
@@ -46,6 +47,7 @@
 pub mod booking;
 mod budget;
 mod clock;
+mod contacts;
 mod coverage;
 pub mod direct;
 mod dispatch;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -18,6 +18,7 @@
 use sapphirerack_protocol::{Datagram, Liveness, Peer, Purpose, Summary};
 
 use crate::Host;
+use crate::contacts::Contacts;
 use crate::probes::Probes;
 use crate::roster::{Roster, is_live};
 use crate::stamps::Stamps;
@@ -93,29 +94,6 @@
     since: Instant,
 }
 
-/// Last contact of this host, or of one near it, with a data centre.
-#[derive(Clone, Copy)]
-struct Contact {
-    at: Instant,
-    /// Time since then in which this host was paused and could not notice any contact.
-    paused: Duration,
-}
-
-impl Contact {
-    fn at(at: Instant) -> Self {
-        Self { at, paused: Duration::ZERO }
-    }
-
-    fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.at)
-    }
-
-    /// Time for which this host could have noticed a contact and did not.
-    fn silence(&self, now: Instant) -> Duration {
-        self.age(now).saturating_sub(self.paused)
-    }
-}
-
 /// Membership as seen by one host.
 pub struct Membership {
     own: Peer,
@@ -123,7 +101,7 @@
     roster: Roster,
     updates: UpdateQueue,
     probes: Probes,
-    last_contact: Map<Name, Contact>,
+    contacts: Contacts,
     cut_off: Set<Name>,
     differences: Map<Name, Difference>,
     seeds: Vec<SocketAddr>,
@@ -156,7 +134,7 @@
             roster: Roster::new(),
             updates: UpdateQueue::default(),
             probes: Probes::default(),
-            last_contact: Map::default(),
+            contacts: Contacts::default(),
             cut_off: Set::default(),
             differences: Map::default(),
             seeds: Vec::new(),
@@ -269,7 +247,7 @@
             return Vec::new();
         }
         self.merge_and_gossip(from, now);
-        self.last_contact.insert(from.data_centre.clone(), Contact::at(now));
+        self.contacts.record(&from.data_centre, now);
         for peer in &datagram.peers {
             self.merge_and_gossip(peer, now);
         }
@@ -384,9 +362,7 @@
         }
         self.probes.clear();
         self.roster.restart_suspicions(now);
-        for contact in self.last_contact.values_mut() {
-            contact.paused += gap;
-        }
+        self.contacts.record_pause(gap);
         self.own.incarnation += 1;
         self.announce(now);
     }
@@ -494,10 +470,9 @@
 
     fn summaries(&self, now: Instant) -> Vec<Summary> {
         let summary = |name: &Name| {
-            let contact = self.last_contact.get(name).copied();
-            let own = *name == self.own.data_centre;
-            let contact = if own { Some(Contact::at(now)) } else { contact };
-            let age = contact.map_or(u128::MAX, |c| c.age(now).as_millis());
+            let is_own = *name == self.own.data_centre;
+            let age = if is_own { Some(Duration::ZERO) } else { self.contacts.age(name, now) };
+            let age = age.map_or(u128::MAX, |age| age.as_millis());
             Summary {
                 data_centre: name.clone(),
                 age: u32::try_from(age).unwrap_or(u32::MAX),
@@ -519,11 +494,7 @@
                 && let Some(contact) = sent
                     .and_then(|sent| sent.checked_sub(Duration::from_millis(summary.age.into())))
             {
-                let contact = Contact::at(contact);
-                let known = self.last_contact.entry(name.clone()).or_insert(contact);
-                if contact.at > known.at {
-                    *known = contact;
-                }
+                self.contacts.record(name, contact);
             }
             if !is_local && *name != from.data_centre {
                 continue;
@@ -538,8 +509,8 @@
 
     fn update_cut_off(&mut self, now: Instant) {
         let is_silent = |name: &&Name| {
-            let contact = self.last_contact.get(*name);
-            contact.is_none_or(|c| c.silence(now) >= self.timing.cut_off)
+            let silence = self.contacts.silence(name, now);
+            silence.is_none_or(|silence| silence >= self.timing.cut_off)
         };
         let others = self.roster.data_centres().filter(|n| **n != self.own.data_centre);
         let cut_off: Set<Name> = others.filter(is_silent).cloned().collect();
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -233,13 +233,17 @@
 
 /// Membership of the host `index`, which starts at `start`.
 fn member(index: usize, start: Instant) -> Membership {
+    member_with(index, start, index as u64)
+}
+
+fn member_with(index: usize, start: Instant, seed: u64) -> Membership {
     let host = Host {
         name: format!("munich-{index}").into(),
         data_centre: "munich".into(),
         address: net::address(index),
         capacity: 0,
     };
-    let mut membership = Membership::new(&host, Timing::default(), start, seconds(1), index as u64);
+    let mut membership = Membership::new(&host, Timing::default(), start, seconds(1), seed);
     membership.set_seeds(vec![net::address(1 - index)]);
     membership
 }
@@ -269,13 +273,7 @@
     let sent = start + seconds(3);
     let mut asking = member(0, start);
     let (ping, ack) = first_exchange(&mut asking, start, sent);
-    let host = Host {
-        name: "munich-0".into(),
-        data_centre: "munich".into(),
-        address: net::address(0),
-        capacity: 0,
-    };
-    let restarted = Membership::new(&host, Timing::default(), sent, seconds(9), 7);
+    let restarted = member_with(0, sent, 7);
 
     let later = sent + seconds(20);
     assert_eq!(member(1, start).earliest_send(&ping, later), None, "it echoes nothing");
