--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -62,8 +62,8 @@
 pub struct Page {
     /// Items with the revisions of their last changes.
     pub items: Vec<Event>,
-    /// Whether more pages follow.
-    pub more: bool,
+    /// Key after which the next page begins; `None` if this is the last one.
+    pub next: Option<String>,
     /// Revision of the store.
     pub revision: u64,
 }
--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -171,9 +171,9 @@
                 let page = self.store.list(prefix, after.as_deref()).await?;
                 self.host.metrics.count_store_call();
                 synced = synced.min(page.revision);
-                after = page.items.last().map(|i| i.key.clone());
                 found.extend(page.items);
-                if !page.more || after.is_none() {
+                after = page.next;
+                if after.is_none() {
                     break;
                 }
             }
--- a/crates/forward/src/store.rs
+++ b/crates/forward/src/store.rs
@@ -32,10 +32,17 @@
     ///
     /// # Errors
     ///
-    /// The store did not answer, refused, or its answer can't be read.
+    /// The store did not answer, refused, its answer can't be read, or the next page would be the
+    /// same again.
     pub(crate) async fn list(&mut self, prefix: &str, after: Option<&str>) -> Result<Page> {
         let body = self.get("list", (self.dialect.list)(prefix, after)).await?;
-        (self.dialect.read_list)(&body).map_err(|e| Error::malformed("list", self.address, e))
+        let page = (self.dialect.read_list)(&body);
+        let page = page.map_err(|e| Error::malformed("list", self.address, e))?;
+        if page.next.is_some() && page.next.as_deref() == after {
+            let reason = format!("another page after {after:?}");
+            return Err(Error::malformed("list", self.address, reason));
+        }
+        Ok(page)
     }
 
     /// Changes of a prefix after a revision; returns at once if there are none.
--- a/crates/sapphirerack/tests/platform_support/store.rs
+++ b/crates/sapphirerack/tests/platform_support/store.rs
@@ -16,6 +16,8 @@
     revision: u64,
     compacted: u64,
     unavailable: bool,
+    /// Most items of a page; 0 for no limit.
+    page_len: usize,
 }
 
 /// An in-memory store that serves lists and watches.
@@ -78,6 +80,11 @@
         self.items.lock().unwrap().unavailable = unavailable;
     }
 
+    /// Limits the pages of a listing to so many items.
+    pub fn set_page_len(&self, len: usize) {
+        self.items.lock().unwrap().page_len = len;
+    }
+
     /// Drops the event history, so that older watches get 410.
     pub fn compact(&self) {
         let mut items = self.items.lock().unwrap();
@@ -90,19 +97,13 @@
     if items.unavailable {
         return encode_response("503 Service Unavailable", &[], b"");
     }
-    let query = path.split_once('?').map_or("", |(_, q)| q);
-    let value = |name: &str| {
-        let pairs = query.split('&').filter_map(|p| p.split_once('='));
-        pairs.into_iter().find(|(n, _)| *n == name).map_or(String::new(), |(_, v)| v.to_owned())
+    let Some(query) = parse_query(path) else {
+        return encode_response("400 Bad Request", &[], b"");
     };
+    let value = |name: &str| query.get(name).cloned().unwrap_or_default();
     let prefix = value("Prefix");
     if path.starts_with("/kv-range") {
-        let rows = items.values.iter().filter(|(k, _)| k.starts_with(&prefix));
-        let rows: Vec<Value> = rows
-            .map(|(k, (v, r))| json!({ "Key": k, "Value": base64(v), "Revision": r }))
-            .collect();
-        let body = json!({ "items": rows, "HasMore": false, "StoreRevision": items.revision });
-        return encode_response("200 OK", &[], body.to_string().as_bytes());
+        return encode_page(items, &prefix, &value("after"));
     }
     let after: u64 = value("after").parse().unwrap_or(0);
     if after < items.compacted {
@@ -119,6 +120,42 @@
     encode_response("200 OK", &[], body.to_string().as_bytes())
 }
 
+/// One page of the items whose keys begin with `prefix` and follow `after`.
+fn encode_page(items: &Items, prefix: &str, after: &str) -> Vec<u8> {
+    let is_listed = |key: &str| key.starts_with(prefix) && key > after;
+    let listed = items.values.iter().filter(|(key, _)| is_listed(key));
+    let mut rows: Vec<Value> =
+        listed.map(|(k, (v, r))| json!({ "Key": k, "Value": base64(v), "Revision": r })).collect();
+    let len = if items.page_len > 0 { items.page_len } else { rows.len() };
+    let more = rows.len() > len;
+    rows.truncate(len);
+    let body = json!({ "items": rows, "HasMore": more, "StoreRevision": items.revision });
+    encode_response("200 OK", &[], body.to_string().as_bytes())
+}
+
+/// Decoded parameters of a path, `+` being a blank; `None` if an escape is malformed.
+fn parse_query(path: &str) -> Option<BTreeMap<String, String>> {
+    let query = path.split_once('?').map_or("", |(_, query)| query);
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| Some((name.to_owned(), decode(value)?))).collect()
+}
+
+fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'+' => b' ',
+            b'%' => {
+                let digits = [rest.next()?, rest.next()?];
+                u8::from_str_radix(std::str::from_utf8(&digits).ok()?, 16).ok()?
+            }
+            byte => byte,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
