--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -136,7 +136,10 @@
         guard.ending = Ending::Unsent;
         return Outcome::Unsent("no time left".into());
     }
-    let request = request(&host, &call, &target.id, left);
+    let Some(request) = request(&host, &call, &target.id, left) else {
+        guard.ending = Ending::Unsent;
+        return Outcome::Unsent("the id of the target can't be sent".into());
+    };
     let reused = connection.reused;
     match connection.send(request, &host.answers).await {
         Ok(answer) => {
@@ -195,7 +198,15 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
-fn request(host: &Host, call: &Call, target: &Name, left: Duration) -> Request<Full<Bytes>> {
+/// The request to a target; `None` if the id of the target can't be sent, without which another
+/// target at its address would run the request.
+fn request(
+    host: &Host,
+    call: &Call,
+    target: &Name,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let target = HeaderValue::from_str(target).ok()?;
     let names = &host.dialect.headers;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -204,10 +215,8 @@
     let headers = request.headers_mut();
     headers.insert(names.attempt_id.clone(), call.id.clone());
     headers.insert(names.time_left.clone(), HeaderValue::from(left.as_millis() as u64));
-    if let Ok(id) = HeaderValue::from_str(target) {
-        headers.insert(names.target_id.clone(), id);
-    }
-    request
+    headers.insert(names.target_id.clone(), target);
+    Some(request)
 }
 
 /// Outcome of an attempt that got a response; `reused` tells whether the connection had carried
--- a/crates/sapphirerack/tests/odd_names.rs
+++ b/crates/sapphirerack/tests/odd_names.rs
@@ -112,3 +112,22 @@
     (0..20).for_each(|_| assert_eq!(host.get("/read/x").status(), 200));
     assert_eq!(targets[0].requests().len(), before);
 }
+
+/// Another writer may describe a target well under a name that no target has.
+#[test]
+fn nothing_is_sent_to_the_address_in_an_entry_with_an_odd_name() {
+    let (store, targets) = store(3);
+    let trap = Target::start(&[9], TargetBehaviour::Normal);
+    for name in ODD_NAMES {
+        store.put(&format!("servers/{name}"), &trap.announcement("desk"));
+    }
+    let host = Host::start(&store);
+    host.await_ready();
+
+    reach_each(&host, &targets);
+    targets[0].set_behaviour(TargetBehaviour::Refuse);
+    (0..40).for_each(|n| drop(host.send("POST", "/book/x", &format!("b-{n}"), "")));
+
+    let requests = trap.requests();
+    assert!(requests.is_empty(), "{} requests, first {:?}", requests.len(), requests.first());
+}
