Show that an answer with an odd status or field name reaches no caller

Ruled out: that it can happen here. The HTTP library refuses a head whose status is not one of three digits from 100 on, or whose field name is not a token; the host answers 502 in its own name. Change: tests only, with real processes: 16 status lines and 24 fields, first and last in the head, in three framings, through a read and a query on kept connections and a request that must not be repeated on a new one. The stand-in of a target can send given bytes. Conclusion: handled already; nothing is changed for it.

--- /dev/null
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -0,0 +1,141 @@
+//! A forwarding host whose targets send whole answers that no caller must get: odd in their status
+//! line, in the fields of their head or in their framing.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+mod platform_support;
+
+use platform_support::{Framing, Host, Message, Store, Target, TargetBehaviour, configuration};
+
+/// Attempt id of [`Host::get`].
+const ATTEMPT: &str = "attempt-1";
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Close];
+
+/// Body of an odd answer; two records that no target has.
+const BODY: &str = "odd-body-odd-bodODD-BODY-ODD-BOD";
+
+/// A host with a shard and a service of one target each.
+struct Setup {
+    host: Host,
+    targets: [Target; 2],
+    _store: Store,
+}
+
+fn setup() -> Setup {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &["s1"], "desk"));
+    let services = ["s1", "desk"];
+    let targets = services.map(|_| Target::start(&[1], TargetBehaviour::Normal));
+    for (target, service) in targets.iter().zip(services) {
+        store.put(&format!("servers/{}", target.id), &target.announcement(service));
+    }
+    let host = Host::start(&store);
+    host.await_ready();
+    Setup { host, targets, _store: store }
+}
+
+/// A signed answer with this status line, whose fields begin and end with these lines.
+fn answer(status: &str, first: &str, last: &str, framing: Framing) -> Vec<u8> {
+    let signed = format!("Server-Seal: seal.x\r\nAttempt-Id: {ATTEMPT}\r\n");
+    let (field, body) = match framing {
+        Framing::Length => ("Content-Length: 32\r\n", BODY.to_owned()),
+        Framing::Chunks => ("Transfer-Encoding: chunked\r\n", format!("20\r\n{BODY}\r\n0\r\n\r\n")),
+        Framing::Close => ("Connection: close\r\n", BODY.to_owned()),
+    };
+    format!("HTTP/1.1 {status}\r\n{first}{signed}{field}{last}\r\n{body}").into_bytes()
+}
+
+/// Answers to a read, a query and a request that must not be repeated. Reads and queries find a kept
+/// connection, the other one opens a connection.
+fn ask(setup: &Setup) -> Vec<Message> {
+    let Setup { host, .. } = setup;
+    let book = host.send("POST", "/book/x", ATTEMPT, "body").unwrap();
+    vec![host.get("/read/x"), host.get("/query/x"), book]
+}
+
+/// Sends requests while the targets send `reply`, and checks that their answers are failures of the
+/// host; then checks that the host serves again.
+fn assert_refused(setup: &Setup, reply: &[u8]) {
+    let case = String::from_utf8_lossy(reply).into_owned();
+    assert!(ask(setup).iter().all(|a| a.status() == 200), "before {case:?}");
+    setup.targets.iter().for_each(|t| t.set_reply(Some(reply)));
+
+    let answers = ask(setup);
+
+    setup.targets.iter().for_each(|t| t.set_reply(None));
+    for answer in answers {
+        let start = &answer.start_line;
+        assert!([502, 504].contains(&answer.status()), "{start:?} for {case:?}");
+        assert!(answer.body.is_empty() && answer.header("server-seal").is_none(), "{case:?}");
+        let is_odd = |(name, _): &(String, String)| name.to_lowercase().contains("odd");
+        assert!(!answer.headers.iter().any(is_odd), "{:?} for {case:?}", answer.headers);
+    }
+    assert!(ask(setup).iter().all(|a| a.status() == 200), "after {case:?}");
+}
+
+#[test]
+fn answer_with_an_odd_status_reaches_no_caller() {
+    let setup = setup();
+    let lines = [
+        "000 ",
+        "000 OK",
+        "000",
+        "001 OK",
+        "099 OK",
+        "0 OK",
+        "00 OK",
+        "0200 OK",
+        "2000 OK",
+        "20 OK",
+        "-20 OK",
+        "2x0 OK",
+        "\u{1}200 OK",
+        " 200 OK",
+        "OK 200",
+        "",
+    ];
+    for line in lines {
+        for framing in FRAMINGS {
+            assert_refused(&setup, &answer(line, "", "", framing));
+        }
+    }
+}
+
+#[test]
+fn answer_with_an_odd_field_name_reaches_no_caller() {
+    let setup = setup();
+    let fields = [
+        "X Odd: 1",
+        "X-Odd : 1",
+        " X-Odd: 1",
+        "\tX-Odd: 1",
+        "X\tOdd: 1",
+        "X-Odd\t: 1",
+        "X\u{0}Odd: 1",
+        "X\u{1}Odd: 1",
+        "X\u{b}Odd: 1",
+        "X\u{1b}Odd: 1",
+        "X\u{7f}Odd: 1",
+        "X\rOdd: 1",
+        "X-Odd\r: 1",
+        "X\u{e4}Odd: 1",
+        "X(Odd): 1",
+        ": odd",
+        "X-Odd",
+        "Content-Length : 8",
+        "Content Length: 8",
+        "Content-Length\u{1}: 8",
+        " Content-Length: 8",
+        "Transfer-Encoding : chunked",
+        "Server Seal: odd",
+        "Server-Seal : odd",
+    ];
+    for field in fields {
+        for framing in FRAMINGS {
+            let line = format!("{field}\r\n");
+            assert_refused(&setup, &answer("200 OK", &line, "", framing));
+            assert_refused(&setup, &answer("200 OK", "", &line, framing));
+        }
+    }
+}
--- a/crates/sapphirerack/tests/platform_support/target.rs
+++ b/crates/sapphirerack/tests/platform_support/target.rs
@@ -140,6 +140,8 @@
     pub id: String,
     pub address: SocketAddr,
     behaviour: Arc<Mutex<TargetBehaviour>>,
+    /// Bytes that are sent for every request, instead of the reply of the behaviour.
+    reply: Arc<Mutex<Option<Vec<u8>>>>,
     requests: Arc<Mutex<Vec<Message>>>,
     executed: Arc<Mutex<Vec<String>>>,
     aborted: Arc<AtomicUsize>,
@@ -173,6 +175,8 @@
         let attempts = executed.clone();
         let aborted: Arc<AtomicUsize> = Arc::default();
         let aborts = aborted.clone();
+        let reply: Arc<Mutex<Option<Vec<u8>>>> = Arc::default();
+        let given = reply.clone();
         let address = listen_at(address, move |stream| {
             let mut out = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
@@ -184,6 +188,13 @@
                     let attempt = request.header("attempt-id").unwrap_or_default();
                     attempts.lock().unwrap().push(attempt.to_owned());
                 }
+                let bytes = given.lock().unwrap().clone();
+                if let Some(bytes) = bytes {
+                    if out.write_all(&bytes).is_err() || ends_connection(&bytes) {
+                        return;
+                    }
+                    continue;
+                }
                 if let TargetBehaviour::CutHead(framing, len) = behaviour {
                     let _ = out.write_all(&framing.head().as_bytes()[..len]);
                     return;
@@ -213,13 +224,18 @@
                 }
             }
         });
-        Self { id, address, behaviour, requests, executed, aborted }
+        Self { id, address, behaviour, reply, requests, executed, aborted }
     }
 
     pub fn set_behaviour(&self, behaviour: TargetBehaviour) {
         *self.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Sends these bytes for every request from now on; `None` for the reply of the behaviour.
+    pub fn set_reply(&self, bytes: Option<&[u8]>) {
+        *self.reply.lock().unwrap() = bytes.map(<[u8]>::to_vec);
+    }
+
     pub fn requests(&self) -> Vec<Message> {
         self.requests.lock().unwrap().clone()
     }
@@ -263,6 +279,11 @@
     1
 }
 
+/// Whether an answer in bytes says that the connection ends with it.
+fn ends_connection(reply: &[u8]) -> bool {
+    String::from_utf8_lossy(reply).to_ascii_lowercase().contains("connection: close")
+}
+
 fn is_addressed_to(request: &Message, id: &str) -> bool {
     request.header("expect-instance") == Some(id)
 }
