Pass on no answer whose status is interim or out of range

What callers saw: a signed answer with status 101, 600 or 999 was passed on as it came. Cause: the status of an answer was not checked; the HTTP library takes each from 100 to 999 and skips interim answers but 101.

--- a/crates/sapphirerack/tests/odd_answers.rs
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -102,6 +102,16 @@
     }
 }
 
+#[test]
+fn answer_with_a_status_out_of_range_reaches_no_caller() {
+    let setup = setup();
+    for line in ["101 Switching Protocols", "600 Odd", "999 Odd"] {
+        for framing in FRAMINGS {
+            assert_refused(&setup, &answer(line, "", "", framing));
+        }
+    }
+}
+
 #[test]
 fn answer_with_an_odd_field_name_reaches_no_caller() {
     let setup = setup();
