Take an answer with a second attempt id for that of another request

What callers saw: a signed answer with two attempt ids, of which one was another request's, with both of them. Cause: only the first id in the head was compared with that of the request. Ruled out: one wrong id, which was refused before. Change: each id in an answer must be that of the request. Figures: test answer_with_a_second_id_reaches_no_caller: before, failed in its first case; after, passed. Conclusion: an answer that names another request reaches no caller.

--- a/crates/forward/src/interpret.rs
+++ b/crates/forward/src/interpret.rs
@@ -25,8 +25,9 @@
     if !FINAL.contains(&status.as_u16()) {
         return Outcome::Unknown(format!("status {} is no final one", status.as_u16()));
     }
-    let echoed_id = headers.get(&names.attempt_id);
-    if echoed_id.map_or(reused, |id| *id != call.id) {
+    let ids = headers.get_all(&names.attempt_id);
+    let has_id = ids.iter().next().is_some();
+    if ids.iter().any(|id| *id != call.id) || (reused && !has_id) {
         return Outcome::Unknown("answer to another request".into());
     }
     if (host.dialect.refused)(&answer.head) {
--- a/crates/sapphirerack/tests/odd_answers.rs
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -197,3 +197,13 @@
     assert_eq!((answer.status(), &*answer.body), (200, BODY.as_bytes()));
     assert_eq!(answer.header("content-encoding"), Some("gzip"));
 }
+
+#[test]
+fn answer_with_a_second_id_reaches_no_caller() {
+    let setup = setup();
+    for framing in FRAMINGS {
+        let second = "Attempt-Id: another\r\n";
+        assert_refused(&setup, &answer("200 OK", "", second, framing));
+        assert_refused(&setup, &answer("200 OK", second, "", framing));
+    }
+}
