Require one signature that reaches the caller as it is

What callers saw: a success without signature, with two, or with an empty one; a query's list of signatures with an entry that was none, as one of a target held a comma. Cause: an answer counted as signed if the field was in its head as it came. A field that "connection" lists was removed after that check, and what the field held was not looked at. Ruled out: an answer without the field, which was refused before. Change: an answer is signed if it has one signature, of visible characters without a comma, that "connection" does not list. Conclusion: what is passed on or merged bears the signature that was checked.

--- a/crates/forward/src/hop_by_hop.rs
+++ b/crates/forward/src/hop_by_hop.rs
@@ -27,6 +27,11 @@
     forwarded
 }
 
+/// Whether a header is hop-by-hop in this message, as `connection` lists it.
+pub(crate) fn is_connection_option(headers: &HeaderMap, name: &HeaderName) -> bool {
+    connection_options(headers).any(|option| option.eq_ignore_ascii_case(name.as_str()))
+}
+
 /// Options in the `connection` headers; an option may be the name of another header, which is then
 /// hop-by-hop too.
 fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
--- a/crates/forward/src/interpret.rs
+++ b/crates/forward/src/interpret.rs
@@ -6,11 +6,14 @@
 use std::ops::RangeInclusive;
 
 use hyper::HeaderMap;
-use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{
+    ACCEPT_ENCODING, CONTENT_ENCODING, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use sapphirerack_routes::Action;
 
 use crate::attempt::{Call, Outcome};
 use crate::client::Answer;
+use crate::hop_by_hop::is_connection_option;
 use crate::host::Host;
 
 /// Statuses of final answers.
@@ -33,7 +36,7 @@
     if (host.dialect.refused)(&answer.head) {
         return Outcome::NotRun(format!("refused with status {}", status.as_u16()));
     }
-    if !headers.contains_key(&names.signature) {
+    if !is_signed(headers, &names.signature) {
         return Outcome::Unknown(format!("unsigned answer with status {}", status.as_u16()));
     }
     if is_coded(call, headers) {
@@ -46,6 +49,15 @@
     Outcome::Answered(answer)
 }
 
+/// Whether there is one signature that goes to the caller as it is, alone or in a list.
+fn is_signed(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let mut signatures = headers.get_all(name).iter();
+    let is_plain = |b: &u8| b.is_ascii_graphic() && *b != b',';
+    let first = signatures.next().map(HeaderValue::as_bytes).unwrap_or_default();
+    let is_first_plain = !first.is_empty() && first.iter().all(is_plain);
+    is_first_plain && signatures.next().is_none() && !is_connection_option(headers, name)
+}
+
 /// Whether the body is in a coding that this host did not decode and the caller does not accept.
 fn is_coded(call: &Call, headers: &HeaderMap) -> bool {
     let mut transfer = elements(headers, TRANSFER_ENCODING);
--- a/crates/sapphirerack/tests/odd_answers.rs
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -198,6 +198,21 @@
     assert_eq!(answer.header("content-encoding"), Some("gzip"));
 }
 
+#[test]
+fn answer_without_one_plain_signature_reaches_no_caller() {
+    let setup = setup();
+    for field in ["Server-Seal: other", "Connection: Server-Seal", "Connection: x, server-seal"] {
+        for framing in FRAMINGS {
+            assert_refused(&setup, &answer("200 OK", "", &format!("{field}\r\n"), framing));
+        }
+    }
+    for signature in ["", "a, b", "a,", "a b", "a\tb", "\u{e4}"] {
+        let fields = format!("Server-Seal: {signature}\r\nAttempt-Id: {ATTEMPT}\r\n");
+        let reply = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 32\r\n\r\n{BODY}");
+        assert_refused(&setup, reply.as_bytes());
+    }
+}
+
 #[test]
 fn answer_with_a_second_id_reaches_no_caller() {
     let setup = setup();
