Read a keep-alive time that is no number as none

What callers saw: after one answer of the store with "Keep-Alive: timeout=nan" a host never followed the store again; the same header in a good answer of a target made it a 502. Cause: the time was cut to an hour and then converted to a duration, and a value that is no number can neither be cut nor be converted: the conversion panics, which ends the task that reads the store. Ruled out: infinite, negative and overlong times, which were cut before the conversion; other conversions of floats in the crate, which can fail or take bounded values (by reading). Change: a conversion that can fail; a time that is none counts as not stated, and a longer one is cut as before. Conclusion: no keep-alive header ends a task or costs an answer.

--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -29,6 +29,9 @@
 /// Idle timeout of a connection if the peer states none.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Longest idle time of a connection, whatever the peer states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(60 * 60);
+
 /// Share of the peer's idle timeout for which a connection is reused.
 const IDLE_FRACTION: f64 = 0.6;
 
@@ -179,7 +182,8 @@
     let header = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = header.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
     let seconds: f64 = timeout.parse().ok()?;
-    Some(Duration::from_secs_f64((seconds * IDLE_FRACTION).clamp(0.0, 3_600.0)))
+    let idle = Duration::try_from_secs_f64(seconds * IDLE_FRACTION).ok()?;
+    Some(idle.min(MAX_IDLE_TIME))
 }
 
 /// An idle connection with its expiry.
--- a/crates/sapphirerack/tests/odd_answers.rs
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -222,3 +222,16 @@
         assert_refused(&setup, &answer("200 OK", second, "", framing));
     }
 }
+
+#[test]
+fn good_answer_is_passed_on_whatever_its_keep_alive_header_says() {
+    let setup = setup();
+    for timeout in ["nan", "inf", "-1", "1e400", "", "x"] {
+        let fields = format!("Keep-Alive: timeout={timeout}\r\nContent-Length: 32\r\n");
+        setup.targets.iter().for_each(|t| t.set_reply(Some(&success(&fields, BODY))));
+
+        let statuses: Vec<u16> = ask(&setup).iter().map(Message::status).collect();
+
+        assert_eq!(statuses, [200, 200, 200], "{timeout:?}");
+    }
+}
--- a/crates/sapphirerack/tests/platform_support/store.rs
+++ b/crates/sapphirerack/tests/platform_support/store.rs
@@ -18,6 +18,10 @@
     unavailable: bool,
     /// Most items of a page; 0 for no limit.
     page_len: usize,
+    /// Bytes that are sent for every call, instead of its reply.
+    given: Option<Vec<u8>>,
+    /// Further header lines of all replies.
+    lines: String,
 }
 
 /// An in-memory store that serves lists and watches.
@@ -38,7 +42,7 @@
             open.lock().unwrap().push(stream.try_clone().unwrap());
             let mut reader = BufReader::new(stream);
             while let Some(request) = read_message(&mut reader) {
-                let reply = reply(&shared.lock().unwrap(), request.path());
+                let reply = whole_reply(&shared.lock().unwrap(), request.path());
                 if out.write_all(&reply).is_err() {
                     return;
                 }
@@ -85,6 +89,16 @@
         self.items.lock().unwrap().page_len = len;
     }
 
+    /// Sends these bytes for every call from now on; `None` for its reply.
+    pub fn set_reply(&self, bytes: Option<&[u8]>) {
+        self.items.lock().unwrap().given = bytes.map(<[u8]>::to_vec);
+    }
+
+    /// Adds these header lines to all replies from now on.
+    pub fn set_lines(&self, lines: &str) {
+        self.items.lock().unwrap().lines = lines.to_owned();
+    }
+
     /// Drops the event history, so that older watches get 410.
     pub fn compact(&self) {
         let mut items = self.items.lock().unwrap();
@@ -93,6 +107,15 @@
     }
 }
 
+fn whole_reply(items: &Items, path: &str) -> Vec<u8> {
+    if let Some(given) = &items.given {
+        return given.clone();
+    }
+    let reply = reply(items, path);
+    let head = reply.iter().position(|b| *b == b'\n').unwrap() + 1;
+    [&reply[..head], items.lines.as_bytes(), &reply[head..]].concat()
+}
+
 fn reply(items: &Items, path: &str) -> Vec<u8> {
     if items.unavailable {
         return encode_response("503 Service Unavailable", &[], b"");
