Keep ports of the tests' hosts apart from starting processes

Cause: a test that starts 17 hosts at once failed once with "listen: Address already in use". A port is tried with a listener; a process that another thread starts at that moment holds a copy of it until its program runs. Ruled out: ephemeral ports (32768 and above; the hosts use lower ones) and other test processes (none ran). Change: the fixture holds a lock while it tries a port and while it starts a process. Conclusion: a flaw of the fixture, which older tests with several hosts share; no check changes.

--- a/crates/sapphirerack/tests/platform_support/host.rs
+++ b/crates/sapphirerack/tests/platform_support/host.rs
@@ -9,7 +9,7 @@
 
 use super::message::{Message, encode_request, read_message};
 use super::store::Store;
-use super::{DEFAULT_ATTEMPT, unused_address, wait_until};
+use super::{DEFAULT_ATTEMPT, lock_sockets, unused_address, wait_until};
 
 /// Time budget of requests, and the one for tests that must not reach it.
 const DEFAULT_BUDGET_MS: u32 = 1_500;
@@ -140,7 +140,11 @@
 
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        let mut kill = {
+            let _sockets = lock_sockets();
+            Command::new("kill").args([signal, &id]).spawn().unwrap()
+        };
+        assert!(kill.wait().unwrap().success());
     }
 
     /// Most memory that the process has taken so far, in KiB.
@@ -171,6 +175,7 @@
 }
 
 fn spawn(settings: &Path, out: Stdio) -> Child {
+    let _sockets = lock_sockets();
     Command::new(env!("CARGO_BIN_EXE_sapphirerack"))
         .arg("forward")
         .env("SAPPHIRERACK_SETTINGS", settings)
--- a/crates/sapphirerack/tests/platform_support/mod.rs
+++ b/crates/sapphirerack/tests/platform_support/mod.rs
@@ -10,6 +10,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,13 @@
     })
 }
 
+/// Held while a port is tried and while a process is started: until its program runs, a new process
+/// keeps the sockets of all threads open.
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    static SOCKETS: Mutex<()> = Mutex::new(());
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// An address on which nothing listens. Its port is outside the ephemeral range, so that no other
 /// process is assigned it, and each call returns another one.
 pub fn unused_address() -> SocketAddr {
@@ -74,6 +82,7 @@
     loop {
         let offset = (std::process::id() % PORT_RANGES) as u16 * PORTS_PER_PROCESS;
         let port = FIRST_PORT + offset + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let _sockets = lock_sockets();
         if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
             return listener.local_addr().unwrap();
         }
