Show that a host serves and follows the store after odd answers of it

Ruled out: that an odd status (000, 101, 204, 999), field name, framing or body of the store ends the reading. Change: test only: a host whose store sends one of 17 odd answers for 1.2 s serves meanwhile, and follows the store afterwards.

--- a/crates/sapphirerack/tests/odd_store.rs
+++ b/crates/sapphirerack/tests/odd_store.rs
@@ -4,8 +4,14 @@
 
 mod platform_support;
 
+use std::thread;
+use std::time::Duration;
+
 use platform_support::{Host, Store, Target, TargetBehaviour, configuration, wait_until};
 
+/// Time in which a host reads the store at least once.
+const READ_TIME: Duration = Duration::from_millis(1_200);
+
 /// A host that uses a store with a service of one target.
 struct Setup {
     store: Store,
@@ -50,3 +56,57 @@
         assert_follows(&setup, timeout);
     }
 }
+
+/// Answers of a store in trouble; the body of a whole one is that of an empty list.
+fn odd_replies() -> Vec<Vec<u8>> {
+    let body = r#"{"items":[],"events":[],"HasMore":false,"StoreRevision":1}"#;
+    let head = |status: &str, fields: &str| {
+        let len = body.len();
+        format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {len}\r\n\r\n{body}")
+    };
+    let chunked = |size: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\n{body}\r\n0\r\n\r\n"
+        )
+    };
+    let whole =
+        |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let replies = [
+        head("000 OK", ""),
+        head("101 Switching Protocols", ""),
+        head("204 No Content", ""),
+        head("999 Odd", ""),
+        head("200 OK", "X Odd: 1\r\n"),
+        head("200 OK", "X\u{1}Odd: 1\r\n"),
+        head("200 OK", "Content-Length : 8\r\n"),
+        head("200 OK", "Content-Length: 8\r\n"),
+        chunked("ffffffffffffffff"),
+        chunked("+3b"),
+        whole(""),
+        whole("[]"),
+        whole("{}"),
+        whole(&body.replace("n\":1", "n\":-1")),
+        whole(&body.replace("n\":1", "n\":1e999")),
+        whole(&body.replace("[]", "7")),
+        whole(&body.replace("false", "true")),
+    ];
+    replies.into_iter().map(String::into_bytes).collect()
+}
+
+#[test]
+fn host_serves_and_follows_the_store_after_odd_answers() {
+    thread::scope(|scope| {
+        for reply in odd_replies() {
+            scope.spawn(move || {
+                let case = String::from_utf8_lossy(&reply).into_owned();
+                let setup = setup();
+                setup.store.set_reply(Some(&reply));
+                thread::sleep(READ_TIME);
+                assert_eq!(setup.host.get("/read/x").status(), 200, "{case:?}");
+                setup.store.set_reply(None);
+
+                assert_follows(&setup, &case);
+            });
+        }
+    });
+}
