--- a/crates/sapphirerack/tests/odd_store.rs
+++ b/crates/sapphirerack/tests/odd_store.rs
@@ -110,3 +110,27 @@
         }
     });
 }
+
+#[test]
+fn host_starts_while_a_row_of_the_list_is_no_text() {
+    let rows: [&[u8]; 4] = [
+        b"{\"Key\":\"servers/i-\xff\",\"Value\":\"aGk=\",\"Revision\":1}",
+        b"{\"Key\":\"servers/i-\xc3\",\"Value\":\"\x80\",\"Revision\":1}",
+        b"{\"Key\":\"servers/i-\\udcff\",\"Value\":\"aGk=\",\"Revision\":1}",
+        b"{\"\xf0\x9f\":1}",
+    ];
+    for row in rows {
+        let case = String::from_utf8_lossy(row).into_owned();
+        let store = Store::start();
+        store.put("op/config", &configuration(3, &["s1"], "desk"));
+        let target = Target::start(&[1], TargetBehaviour::Normal);
+        announce(&store, &target);
+        store.set_raw_row(row);
+
+        println!("with {case:?}");
+        let host = Host::start(&store);
+        host.await_ready();
+
+        wait_until(|| host.get("/read/x").status() == 200);
+    }
+}
--- a/crates/sapphirerack/tests/platform_support/store.rs
+++ b/crates/sapphirerack/tests/platform_support/store.rs
@@ -22,6 +22,8 @@
     given: Option<Vec<u8>>,
     /// Further header lines of all replies.
     lines: String,
+    /// Bytes of a further item on each page.
+    raw_row: Vec<u8>,
 }
 
 /// An in-memory store that serves lists and watches.
@@ -94,6 +96,11 @@
         self.items.lock().unwrap().given = bytes.map(<[u8]>::to_vec);
     }
 
+    /// Puts an item with these bytes first on each page from now on.
+    pub fn set_raw_row(&self, bytes: &[u8]) {
+        self.items.lock().unwrap().raw_row = bytes.to_vec();
+    }
+
     /// Adds these header lines to all replies from now on.
     pub fn set_lines(&self, lines: &str) {
         self.items.lock().unwrap().lines = lines.to_owned();
@@ -153,7 +160,12 @@
     let more = rows.len() > len;
     rows.truncate(len);
     let body = json!({ "items": rows, "HasMore": more, "StoreRevision": items.revision });
-    encode_response("200 OK", &[], body.to_string().as_bytes())
+    let mut body = body.to_string().into_bytes();
+    if !items.raw_row.is_empty() && !rows.is_empty() {
+        let first = body.windows(2).position(|w| w == b"[{").unwrap() + 1;
+        body.splice(first..first, [&items.raw_row[..], b","].concat());
+    }
+    encode_response("200 OK", &[], &body)
 }
 
 /// Decoded parameters of a path, `+` being a blank; `None` if an escape is malformed.
