Escape control characters in the log

What operators saw: an entry of another writer whose name, state or service held a line break made up a line of a host's log. Cause: names and values of the store, and errors that quote them, went into the log as they were. Ruled out: headers of callers and of targets, which hold no control characters (the HTTP library refuses them). Change: the format escapes control characters; "serve" and "forward" share it now. Keys and services of entries are quoted. Conclusion: a line of the log is one event of its host.

--- a/crates/forward/src/reader.rs
+++ b/crates/forward/src/reader.rs
@@ -217,7 +217,7 @@
         let active = view.orders().active().map(|(key, _)| key);
         let ended: Vec<Name> = active.filter(|k| !keys.contains(&***k)).cloned().collect();
         for key in ended {
-            log::info!("event=order_ended key={key} revision={synced} found=listing");
+            log::info!("event=order_ended key={key:?} revision={synced} found=listing");
             view.orders_mut().apply(OrderChange { key, revision: synced, order: None });
         }
     }
@@ -256,7 +256,7 @@
                 let changed = view.registry_mut().announce(target, revision);
                 if changed {
                     log::info!(
-                        "event=target_seen target={id} service={service} draining={draining} \
+                        "event=target_seen target={id} service={service:?} draining={draining} \
                          revision={revision}"
                     );
                 }
@@ -280,14 +280,14 @@
                 let changed = view.orders_mut().apply(change);
                 if changed {
                     log::info!(
-                        "event=order key={} order=\"{described}\" revision={revision}",
+                        "event=order key={:?} order=\"{described}\" revision={revision}",
                         event.key
                     );
                 }
                 changed
             }
             Item::Unreadable(reason) if !gone => {
-                log::warn!("event=item_unreadable key={} reason=\"{reason}\"", event.key);
+                log::warn!("event=item_unreadable key={:?} reason=\"{reason}\"", event.key);
                 false
             }
             _ => false,
--- a/crates/sapphirerack/src/forward.rs
+++ b/crates/sapphirerack/src/forward.rs
@@ -1,6 +1,5 @@
 //! `forward`: runs a host that forwards opaque requests on the users' platform.
 
-use std::io::Write;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -9,6 +8,7 @@
 use crate::client::read_file;
 use crate::command::{Args, Command};
 use crate::error::{Error, Result};
+use crate::log_format::log_builder;
 
 /// Environment variable that holds the path of the settings file.
 const SETTINGS_ENV: &str = "SAPPHIRERACK_SETTINGS";
@@ -35,13 +35,6 @@
 
 fn start_log(level: &str) -> sapphirerack_forward::Result<()> {
     let out = sapphirerack_forward::start_log(std::io::stdout())?;
-    let env = env_logger::Env::default().default_filter_or(level);
-    let mut builder = env_logger::Builder::from_env(env);
-    builder.target(env_logger::Target::Pipe(out));
-    builder.format(|out, record| {
-        let (time, level) = (out.timestamp_millis(), record.level());
-        writeln!(out, "time={time} level={level} module={} {}", record.target(), record.args())
-    });
-    builder.init();
+    log_builder(level).target(env_logger::Target::Pipe(out)).init();
     Ok(())
 }
--- a/crates/sapphirerack/src/main.rs
+++ b/crates/sapphirerack/src/main.rs
@@ -8,6 +8,7 @@
 //! - `command`: the commands, their options and help
 //! - `serve`, `forward`, `check`, `explain`, `apply`, `get`, `status`, `moves`, `member`: the commands
 //! - `client`: HTTP client of an entry host's operator API
+//! - `log_format`: format of the log
 //! - `output`: tables and JSON on standard output
 //! - `error`: errors and their exit codes
 
@@ -19,6 +20,7 @@
 mod explain;
 mod forward;
 mod get;
+mod log_format;
 mod member;
 mod moves;
 mod output;
--- a/crates/sapphirerack/tests/log_lines.rs
+++ b/crates/sapphirerack/tests/log_lines.rs
@@ -82,3 +82,30 @@
     assert!(has_line(&lines, &["event=target_leaving", &targets[0].id]), "{lines:?}");
     assert!(has_line(&lines, &["event=target_holds_off", &targets[1].id, "ms=9000"]));
 }
+
+/// Guards against lines that another writer of the store makes up.
+#[test]
+fn names_and_values_of_the_store_do_not_break_lines() {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &["s1"], "desk"));
+    let forged = "x\ntime=2026-01-01T00:00:00.000Z event=forged \u{1b}[2J\u{85}\u{2028}";
+    let target = Target::start(&[1], TargetBehaviour::Normal);
+    store.put(&format!("servers/{}", target.id), &target.announcement("desk"));
+    store.put(&format!("servers/{forged}"), &target.announcement("desk"));
+    store.put(&format!("op/evacuate/{forged}"), &json!({}));
+    store.put_bytes(&format!("op/rollout/{forged}"), b"[[".to_vec());
+    for field in ["State", "Upstream", "Zone", "Version"] {
+        let mut entry = target.announcement("desk");
+        entry[field] = forged.into();
+        store.put(&format!("servers/odd-{field}"), &entry);
+    }
+    let host = host(&store);
+    host.await_ready();
+    wait_until(|| host.get("/read/x").status() == 200);
+
+    let lines = lines(host);
+
+    let is_whole = |line: &String| line.starts_with("time=") && !line.contains(char::is_control);
+    assert!(lines.iter().all(is_whole), "{lines:#?}");
+    assert!(has_line(&lines, &["event=order", "forged"]), "{lines:#?}");
+}
