--- a/crates/sapphirerack/tests/log_lines.rs
+++ b/crates/sapphirerack/tests/log_lines.rs
@@ -14,6 +14,9 @@
     Host, Store, Target, TargetBehaviour, configuration, read_message, wait_until,
 };
 
+/// Longest line of the log, in bytes: a text of 16 KiB and what stands before it.
+const MAX_LINE: usize = 17 << 10;
+
 /// A host that logs to a pipe and stops at once.
 fn host(store: &Store) -> Host {
     Host::start_with(store, Stdio::piped(), json!({ "grace": 2, "linger": "1ms" }))
@@ -109,3 +112,22 @@
     assert!(lines.iter().all(is_whole), "{lines:#?}");
     assert!(has_line(&lines, &["event=order", "forged"]), "{lines:#?}");
 }
+
+/// The log waits for its reader in memory.
+#[test]
+fn line_on_a_huge_value_is_cut() {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, &["s1"], "desk"));
+    let target = Target::start(&[1], TargetBehaviour::Normal);
+    let mut entry = target.announcement("desk");
+    entry["State"] = "x".repeat(1 << 20).into();
+    store.put("servers/odd", &entry);
+    let host = host(&store);
+    host.await_ready();
+
+    let lines = lines(host);
+
+    assert!(has_line(&lines, &["event=announcement_unreadable", "target=odd"]));
+    let longest = lines.iter().map(String::len).max().unwrap();
+    assert!(longest <= MAX_LINE, "{longest}");
+}
