Show that an answer whose length is odd reaches no caller

Ruled out: lengths that contradict each other or are no number, and chunks with such sizes or without their ends: the HTTP library refuses them. Change: test only, 26 answers through a read, a query and a request that must not be repeated. Conclusion: handled already.

--- a/crates/sapphirerack/tests/odd_answers.rs
+++ b/crates/sapphirerack/tests/odd_answers.rs
@@ -235,3 +235,35 @@
         assert_eq!(statuses, [200, 200, 200], "{timeout:?}");
     }
 }
+
+#[test]
+fn answer_with_an_odd_length_reaches_no_caller() {
+    let setup = setup();
+    for length in [
+        "32\r\nContent-Length: 16",
+        "32, 16",
+        "+32",
+        "-1",
+        "0x20",
+        "32 16",
+        "32;",
+        "3 2",
+        "",
+        "1e9",
+    ] {
+        assert_refused(&setup, &success(&format!("Content-Length: {length}\r\n"), BODY));
+    }
+    for size in ["0x20", "+20", "-20", "2_0", " 20", "20 x", "2 0", "g", "", ";20", "\u{1}20"] {
+        let body = format!("{size}\r\n{BODY}\r\n0\r\n\r\n");
+        assert_refused(&setup, &success("Transfer-Encoding: chunked\r\n", &body));
+    }
+    for body in [
+        format!("20\r\n{BODY}0\r\n\r\n"),
+        format!("20\r\n{BODY}\n0\r\n\r\n"),
+        format!("1f\r\n{BODY}\r\n0\r\n\r\n"),
+        format!("20\n{BODY}\r\n0\r\n\r\n"),
+        format!("10000000000000020\r\n{BODY}\r\n0\r\n\r\n"),
+    ] {
+        assert_refused(&setup, &success("Transfer-Encoding: chunked\r\n", &body));
+    }
+}
