Check the parts and signatures of a gatherer's answer

What callers saw: a connection closed without an answer when a gatherer's answer stated more parts than there are shards, by reading with a release build an absurd number of missing parts; and a success whose signatures were not those of its parts. Cause: the reply of another host was taken for consistent; the number of missing parts was a subtraction that overflowed. Ruled out: messages that are no reply, and queries with odd times and numbers (gatherers, odd_messages_on_a_link). Change: an answer of a gatherer names as many signatures as it states parts, and as many parts as the route takes; any other leaves the query without an answer. Conclusion: an inconsistent answer of a host costs that query only, and the caller is told.

--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -12,6 +12,7 @@
 use sapphirerack_catalogue::Name;
 use sapphirerack_policy::direct::targets_left;
 use sapphirerack_protocol::{GatherReply, GatherScope};
+use sapphirerack_routes::Gather;
 
 use crate::ask::Attempts;
 use crate::delegated::{Delegated, accept_time, message};
@@ -114,12 +115,9 @@
         match reply {
             GatherReply::Answer { signatures, parts, body } => {
                 let parts = parts as usize;
-                match HeaderValue::from_bytes(&signatures) {
-                    Ok(signatures) => {
-                        Some(Gathered::Answer { signatures, parts, body: body.into() })
-                    }
-                    Err(_) => Some(unanswered()),
-                }
+                let signatures = parts_signatures(&signatures, parts, self.query.shards);
+                let answer = |signatures| Gathered::Answer { signatures, parts, body: body.into() };
+                Some(signatures.map_or_else(unanswered, answer))
             }
             GatherReply::Refused { .. } if self.is_started() => Some(unanswered()),
             GatherReply::Refused { retry_after } => Some(Gathered::Refused { retry_after }),
@@ -146,6 +144,15 @@
     }
 }
 
+/// Signatures of a gatherer's answer; `None` if they are not those of as many parts as it states, or
+/// if the route takes no answer of so many parts.
+fn parts_signatures(signatures: &[u8], parts: usize, shards: &Gather) -> Option<HeaderValue> {
+    let is_allowed = (shards.min_shards()..=shards.shards.len()).contains(&parts);
+    let mut listed = signatures.split(|b| *b == b',').map(<[u8]>::trim_ascii);
+    let is_listed = listed.clone().count() == parts && listed.all(|s| !s.is_empty());
+    HeaderValue::from_bytes(signatures).ok().filter(|_| is_allowed && is_listed)
+}
+
 /// Outcome of a query that may have started and has no reply.
 fn unanswered() -> Gathered {
     Gathered::Incomplete { parts: 0, started: true }
