Leave out parts whose signature can't stand in a list

What callers saw: an answer that names a part of another data centre with an empty signature, or with one that held a comma. Cause: signatures of parts that a gatherer sends were merged unchecked. Ruled out: parts of targets, whose signatures are checked with the answer. Change: one check of a signature, used for answers of targets, parts of a gatherer and its whole answers. Conclusion: an odd part is missing, and the others are served.

--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -17,6 +17,7 @@
 use crate::ask::Attempts;
 use crate::delegated::{Delegated, accept_time, message};
 use crate::host::Host;
+use crate::interpret::is_plain_signature;
 use crate::query::{Gathered, Query, gather};
 
 /// Time after the latency objective at which a gatherer without a reply must have accepted the
@@ -149,7 +150,7 @@
 fn parts_signatures(signatures: &[u8], parts: usize, shards: &Gather) -> Option<HeaderValue> {
     let is_allowed = (shards.min_shards()..=shards.shards.len()).contains(&parts);
     let mut listed = signatures.split(|b| *b == b',').map(<[u8]>::trim_ascii);
-    let is_listed = listed.clone().count() == parts && listed.all(|s| !s.is_empty());
+    let is_listed = listed.clone().count() == parts && listed.all(is_plain_signature);
     HeaderValue::from_bytes(signatures).ok().filter(|_| is_allowed && is_listed)
 }
 
--- a/crates/forward/src/interpret.rs
+++ b/crates/forward/src/interpret.rs
@@ -6,9 +6,7 @@
 use std::ops::RangeInclusive;
 
 use hyper::HeaderMap;
-use hyper::header::{
-    ACCEPT_ENCODING, CONTENT_ENCODING, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderName, TRANSFER_ENCODING};
 use sapphirerack_routes::Action;
 
 use crate::attempt::{Call, Outcome};
@@ -52,12 +50,16 @@
 /// Whether there is one signature that goes to the caller as it is, alone or in a list.
 fn is_signed(headers: &HeaderMap, name: &HeaderName) -> bool {
     let mut signatures = headers.get_all(name).iter();
-    let is_plain = |b: &u8| b.is_ascii_graphic() && *b != b',';
-    let first = signatures.next().map(HeaderValue::as_bytes).unwrap_or_default();
-    let is_first_plain = !first.is_empty() && first.iter().all(is_plain);
+    let is_first_plain = signatures.next().is_some_and(|s| is_plain_signature(s.as_bytes()));
     is_first_plain && signatures.next().is_none() && !is_connection_option(headers, name)
 }
 
+/// Whether a signature can stand in a list of them.
+pub(crate) fn is_plain_signature(signature: &[u8]) -> bool {
+    let is_plain = |b: &u8| b.is_ascii_graphic() && *b != b',';
+    !signature.is_empty() && signature.iter().all(is_plain)
+}
+
 /// Whether the body is in a coding that this host did not decode and the caller does not accept.
 fn is_coded(call: &Call, headers: &HeaderMap) -> bool {
     let mut transfer = elements(headers, TRANSFER_ENCODING);
--- a/crates/forward/src/parts.rs
+++ b/crates/forward/src/parts.rs
@@ -4,6 +4,7 @@
 use sapphirerack_catalogue::Set;
 use sapphirerack_protocol::FoundPart;
 
+use crate::interpret::is_plain_signature;
 use crate::query::Gathered;
 
 /// Length of a record in bytes.
@@ -49,12 +50,13 @@
     }
 
     /// Adds parts with their records. Parts of which one has a signature or a shard that occurred
-    /// before are left out, as an answer must not name it twice.
+    /// before are left out, as an answer must not name it twice, and so are those of which one has a
+    /// signature that can't stand in a list.
     pub(crate) fn add(&mut self, parts: Vec<FoundPart>, body: &[u8]) {
         let is_known = |p: &FoundPart| {
             self.signatures.contains(&p.signature) || self.shards.contains(&p.shard)
         };
-        if parts.iter().any(is_known) {
+        if parts.iter().any(|p| is_known(p) || !is_plain_signature(&p.signature)) {
             return;
         }
         for part in &parts {
--- a/crates/sapphirerack/tests/odd_gatherer.rs
+++ b/crates/sapphirerack/tests/odd_gatherer.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use sapphirerack_protocol::{
-    DATAGRAM_LIMIT, Datagram, Decoder, GatherMessage, GatherReply, PeerRequest, Purpose, to_frame,
+    DATAGRAM_LIMIT, Datagram, Decoder, FoundPart, GatherMessage, GatherReply, PeerRequest, Purpose,
+    to_frame,
 };
 use serde_json::json;
 
@@ -21,7 +22,7 @@
     Host, Store, Target, TargetBehaviour, configuration, unused_address, wait_until,
 };
 
-const SHARDS: [&str; 2] = ["s1", "s2"];
+const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 
 /// A host of a small machine, and the reply that the gatherer it knows sends to each query.
 struct Setup {
@@ -31,17 +32,28 @@
     _targets: Vec<Target>,
 }
 
+/// A host that the gatherer gathers all parts for.
 fn setup() -> Setup {
+    let setup = setup_with("here", 0.1, good_reply());
+    wait_until(|| setup.is_delegated());
+    setup
+}
+
+/// A host with this share of a core, and a gatherer in a data centre that has all shards but the first.
+fn setup_with(centre: &'static str, share: f64, reply: GatherReply) -> Setup {
     let store = Store::start();
     let mut config = configuration(3, &SHARDS, "desk");
     for service in config["Upstreams"].as_array_mut().unwrap() {
         // Too few for two hosts, so that one of them gathers.
         service["MaxConns"] = 2.into();
     }
+    config["Routes"][0]["MinCoverage"] = 0.25.into();
     store.put("op/config", &config);
     let targets: Vec<Target> = SHARDS.map(|_| Target::start(&[1], TargetBehaviour::Normal)).into();
     for (target, shard) in targets.iter().zip(SHARDS) {
-        store.put(&format!("servers/{}", target.id), &target.announcement(shard));
+        let mut entry = target.announcement(shard);
+        entry["Zone"] = if shard == SHARDS[0] { "here" } else { centre }.into();
+        store.put(&format!("servers/{}", target.id), &entry);
     }
     let [callers, ready] = [unused_address(), unused_address()];
     // All hosts use the same port, each on an address of its own.
@@ -51,20 +63,18 @@
         "name": "host-2", "data_centre": "here",
         "listen": { "callers": callers, "ready": ready, "hosts": own },
         "store": store.address, "seeds": [own],
-        "machine": { "share": 0.1, "cores": 1, "link": 100 },
+        "machine": { "share": share, "cores": 1, "link": 100 },
     });
-    let reply = Arc::new(Mutex::new(good_reply()));
+    let reply = Arc::new(Mutex::new(reply));
     serve_links(gatherer, reply.clone());
     let host = Host::start_with_settings(callers, ready, &settings, Stdio::null());
-    join(gatherer, own);
+    join(gatherer, own, centre);
     host.await_ready();
-    let setup = Setup { host, reply, _store: store, _targets: targets };
-    wait_until(|| setup.is_delegated());
-    setup
+    Setup { host, reply, _store: store, _targets: targets }
 }
 
 fn good_reply() -> GatherReply {
-    GatherReply::Answer { signatures: b"a, b".to_vec(), parts: 2, body: b"gathered".to_vec() }
+    GatherReply::Answer { signatures: b"a, b, c, d".to_vec(), parts: 4, body: b"gathered".to_vec() }
 }
 
 impl Setup {
@@ -74,8 +84,13 @@
     }
 }
 
+fn part(shard: u32, signature: &[u8], body: &[u8]) -> GatherReply {
+    let parts = vec![FoundPart { shard, signature: signature.to_vec() }];
+    GatherReply::Parts { parts, body: body.to_vec(), shares: Vec::new(), last: true }
+}
+
 /// Plays a host of a large machine that `host` takes for alive: answers its pings.
-fn join(own: SocketAddr, host: SocketAddr) {
+fn join(own: SocketAddr, host: SocketAddr, centre: &'static str) {
     let socket = UdpSocket::bind(own).unwrap();
     thread::spawn(move || {
         let mut bytes = [0; DATAGRAM_LIMIT];
@@ -86,17 +101,17 @@
             if let Ok((len, _)) = socket.recv_from(&mut bytes) {
                 last = Some(Datagram::decode(&bytes[..len]).unwrap());
             }
-            let datagram = play(own, last.as_ref());
+            let datagram = play(own, centre, last.as_ref());
             let _ = socket.send_to(&datagram.encode().unwrap(), host);
         }
     });
 }
 
 /// Datagram of the played host, in reply to one of the host if there is one.
-fn play(own: SocketAddr, received: Option<&Datagram>) -> Datagram {
+fn play(own: SocketAddr, centre: &str, received: Option<&Datagram>) -> Datagram {
     let from = sapphirerack_protocol::Peer {
         name: "host-3".into(),
-        data_centre: "here".into(),
+        data_centre: centre.into(),
         address: own,
         incarnation: 1,
         liveness: sapphirerack_protocol::Liveness::Alive,
@@ -158,7 +173,7 @@
         body: b"odd".to_vec(),
     };
     for reply in [
-        answer(b"a, b, c", 3),
+        answer(b"a, b, c, d, e", 5),
         answer(b"a, b", u32::MAX),
         answer(b"a, b", 1),
         answer(b"a", 2),
@@ -176,3 +191,23 @@
         assert!(setup.is_delegated(), "after {reply:?}");
     }
 }
+
+#[test]
+fn odd_part_of_another_data_centre_is_left_out() {
+    let setup = setup_with("there", 0.5, part(0, b"good", &[9; 16]));
+    let has_both = || {
+        let answer = setup.host.get("/query/x");
+        answer.header("part-seals").is_some_and(|seals| seals.contains("good"))
+    };
+    wait_until(has_both);
+    for signature in [&b""[..], b"a, b", b"a b", b"a\nb", b"\xff", b"\0"] {
+        *setup.reply.lock().unwrap() = part(0, signature, &[9; 16]);
+
+        let answer = setup.host.get("/query/x");
+
+        let seals = answer.header("part-seals").unwrap_or_default();
+        assert_eq!((answer.status(), answer.header("missing-parts")), (200, Some("3")));
+        assert!(seals.starts_with("seal.") && !seals.contains(','), "{seals:?}");
+        assert_eq!(answer.body, [1; 16], "{signature:?}");
+    }
+}
