Read the host list without the entries that are none of a host

What operators saw: hosts of "serve" that all started again never found each other while one entry of the platform's host list was null, had another state or a port out of range. Cause: the list was decoded as a whole, so that one odd entry made it malformed. Ruled out: hosts that run on, which know each other by gossip. Change: the client decodes the list entry by entry, and logs one that is odd. Figures: test hosts_find_each_other_while_odd_entries_stand_in_the_host_list: before, failed ("did not report 2 live hosts in time"); after, passed. Conclusion: the entries of hosts hold, whatever else stands in the list.

--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -12,6 +12,7 @@
 
 use sapphirerack_catalogue::Name;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::error::Code;
 use crate::http::{self, Response};
@@ -116,7 +117,7 @@
         }
     }
 
-    /// Reads the platform's host list.
+    /// Reads the platform's host list, without the entries that are not those of a host.
     ///
     /// # Errors
     ///
@@ -127,7 +128,11 @@
         let response = http::fetch(request, self.timeout);
         let mut response = self.check_result(step, response)?;
         match response.status().as_u16() {
-            200 => http::read_json(&mut response, VALUE_LIMIT).map_err(|c| self.error(step, c)),
+            200 => {
+                let rows = http::read_json(&mut response, VALUE_LIMIT);
+                let rows: Vec<Box<RawValue>> = rows.map_err(|c| self.error(step, c))?;
+                Ok(rows.iter().filter_map(|row| read_host(row)).collect())
+            }
             status => Err(self.error(step, Code::Refused(status))),
         }
     }
@@ -163,3 +168,9 @@
         Error::new(step, &self.address, code)
     }
 }
+
+/// A row of the host list; `None` if it is not the entry of a host.
+fn read_host(row: &RawValue) -> Option<HostEntry> {
+    let entry = serde_json::from_str(row.get());
+    entry.inspect_err(|e| log::warn!("step=\"read host list\" entry=odd error=\"{e}\"")).ok()
+}
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -45,6 +45,8 @@
     pub write_rate: Option<u64>,
     /// Propagation delay of the host list.
     pub lag: Duration,
+    /// JSON entries of other writers in front of the host list.
+    pub odd_hosts: Vec<serde_json::Value>,
 }
 
 impl Default for StoreFault {
@@ -59,6 +61,7 @@
             read_rate: None,
             write_rate: None,
             lag: Duration::ZERO,
+            odd_hosts: Vec::new(),
         }
     }
 }
@@ -289,7 +292,9 @@
         }
         (&Method::GET, None) if request.path == "/hosts" => {
             inner.count(|c| c.hosts += 1);
-            Reply::json(200, &inner.hosts(fault.lag))
+            let own = inner.hosts(fault.lag).into_iter().map(|h| serde_json::json!(h));
+            let rows: Vec<_> = fault.odd_hosts.iter().cloned().chain(own).collect();
+            Reply::json(200, &rows)
         }
         _ => reply(404, 0, Vec::new()),
     }
--- a/crates/sapphirerack/tests/bad_input.rs
+++ b/crates/sapphirerack/tests/bad_input.rs
@@ -9,6 +9,7 @@
 
 use fastrand::Rng;
 use sapphirerack_lab::fleet::{Fleet, Shape};
+use serde_json::{Value, json};
 use ureq::Agent;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
@@ -99,3 +100,32 @@
     }
     assert_eq!(search(&fleet), 200);
 }
+
+#[test]
+fn hosts_find_each_other_while_odd_entries_stand_in_the_host_list() {
+    let mut fleet = fleet();
+    let good = json!(fleet.hosts[0].entry());
+    let odd = |field: &str, value: Value| {
+        let mut entry = good.clone();
+        entry[field] = value;
+        entry
+    };
+    let odd_hosts = vec![
+        Value::Null,
+        json!([[]]),
+        json!({ "name": "odd" }),
+        odd("state", "odd".into()),
+        odd("address", "127.0.0.1:70000".into()),
+        odd("address", 7.into()),
+        odd("name", Value::Null),
+    ];
+    fleet.store.update(|f| f.odd_hosts = odd_hosts);
+
+    fleet.hosts.iter_mut().for_each(|host| host.kill());
+    fleet.hosts.iter_mut().for_each(|host| host.restart());
+
+    let count = fleet.hosts.len();
+    fleet.hosts.iter().for_each(|host| host.await_live_hosts(count));
+    fleet.await_ready();
+    assert_eq!(search(&fleet), 200);
+}
