Reword the checks of answers

Cause: read as a newcomer, the head of the module said the same word for what is checked and what passes.

--- a/crates/forward/src/interpret.rs
+++ b/crates/forward/src/interpret.rs
@@ -1,7 +1,7 @@
-//! Which answers of targets are answers to a request.
+//! Checks of the answers of targets.
 //!
-//! What is not may not reach the caller; the request then counts as possibly run, unless the target
-//! states that it has not run it.
+//! An answer that fails one does not reach the caller. Its request may have run, unless the target
+//! states that it has not.
 
 use std::ops::RangeInclusive;
 
@@ -24,7 +24,7 @@
     let headers = &answer.head.headers;
     let status = answer.head.status;
     if !FINAL.contains(&status.as_u16()) {
-        return Outcome::Unknown(format!("status {} is no final one", status.as_u16()));
+        return Outcome::Unknown(format!("status {} is not one of an answer", status.as_u16()));
     }
     let ids = headers.get_all(&names.attempt_id);
     let has_id = ids.iter().next().is_some();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,7 +32,7 @@
 //! - `frames`: frames of messages on a connection between hosts
 //! - `ask`: a request to one service, with hedges and retries
 //! - `attempt`: one attempt of a request at one target
-//! - `interpret`: which answers of targets are answers to a request
+//! - `interpret`: checks of the answers of targets
 //! - `hop_by_hop`: headers that concern one connection only
 //! - `answer_memory`: memory that the answers of peers may take
 //! - `client`: connections to targets and to the store, and their pool
