Show what crowds of clients take of a process

What callers saw: in a trial of the users such clients ended a process, which ran out of memory.

A client that announced 64 MiB and sent 8 got no 413.

Ruled out: a time bound. The tests wait until the process is idle and check what it has taken at most, its descriptors, and one ordinary request. The bound is the memory of the smallest machine of the deployments, 160 MB.

--- /dev/null
+++ b/crates/sapphirerack/tests/crowds.rs
@@ -0,0 +1,319 @@
+//! Crowds of clients that hold what they can: the process lives, stays within its machine, and
+//! answers an ordinary caller meanwhile.
+
+#![allow(clippy::unwrap_used, reason = "a fixture that fails is a failed test")]
+
+mod crowd_support;
+mod platform_support;
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::sync::MutexGuard;
+
+use crowd_support::{
+    BODY_LIMIT, CROWD, Crowd, PIECE, Process, SMALL_CHUNK, connect, has_input, lock_crowd,
+    read_head, send_bytes, send_chunks, take_some,
+};
+use platform_support::{Host, Store, Target, TargetBehaviour, configuration};
+use serde_json::json;
+
+/// Time that the configuration allows a connection to be idle and a request to take; no test lasts
+/// so long.
+const NO_LIMIT_MS: u32 = 300_000;
+
+/// Largest head that the settings of the tests allow, in bytes.
+const HEAD_LIMIT: usize = 1 << 20;
+
+/// Clients whose bodies come in small chunks; what they send takes more than the machine's memory.
+const SMALL_CHUNK_CLIENTS: usize = 48;
+
+/// Clients with a head each; what they send takes more than the machine's memory.
+const HEADS: usize = 256;
+
+/// Descriptors that the process of one test may open, the idle clients of that test, and the
+/// descriptors that are left for the store, targets and other hosts.
+const DESCRIPTORS: usize = 256;
+const IDLE_CLIENTS: usize = 300;
+const FREE_DESCRIPTORS: usize = DESCRIPTORS / 4;
+
+/// Size of an answer that a client doesn't take, and number of such clients.
+const LARGE_ANSWER: usize = 12 << 20;
+const LAZY_CLIENTS: usize = 40;
+
+/// A host with a shard and a service of one target each.
+struct Setup {
+    host: Host,
+    shard: Target,
+    desk: Target,
+    _store: Store,
+    _alone: MutexGuard<'static, ()>,
+}
+
+impl Setup {
+    fn process(&self) -> Process {
+        Process(self.host.id())
+    }
+
+    fn gather(
+        &self,
+        count: usize,
+        send: impl Fn(usize, &mut TcpStream) -> io::Result<()> + Sync,
+    ) -> Crowd {
+        Crowd::gather(self.host.callers, count, send)
+    }
+
+    /// Asserts that the process, once it is idle, is within its bounds and answers an
+    /// ordinary caller.
+    fn assert_sound(&self) {
+        self.process().await_idle();
+        self.process().assert_within_machine();
+        assert_eq!(self.ask(), Some(200), "an ordinary query");
+        self.process().assert_within_machine();
+    }
+
+    /// Status of the answer to an ordinary query.
+    fn ask(&self) -> Option<u16> {
+        let mut stream = connect(self.host.callers).ok()?;
+        stream.write_all(head("GET /query/x", "ordinary", "").as_bytes()).ok()?;
+        read_head(&stream).map(|(status, _)| status)
+    }
+
+    /// Ids of the requests that reached the target of the service.
+    fn ids_at_desk(&self) -> Vec<String> {
+        let id = |m: &platform_support::Message| m.header("attempt-id").map(str::to_owned);
+        self.desk.requests().iter().filter_map(id).collect()
+    }
+}
+
+fn setup_with(start: impl FnOnce(&Store) -> Host) -> Setup {
+    let alone = lock_crowd();
+    let store = Store::start();
+    let mut configuration = configuration(3, &["s1"], "desk");
+    configuration["Limits"] = json!({
+        "MaxHeaderBytes": HEAD_LIMIT, "MaxBodyBytes": BODY_LIMIT,
+        "HeaderTimeoutMs": NO_LIMIT_MS, "IdleTimeoutMs": NO_LIMIT_MS,
+    });
+    for route in configuration["Routes"].as_array_mut().unwrap() {
+        route["TimeoutMs"] = json!(NO_LIMIT_MS);
+    }
+    store.put("op/config", &configuration);
+    let [shard, desk] = ["s1", "desk"].map(|service| {
+        let target = Target::start(&[1], TargetBehaviour::Normal);
+        store.put(&format!("servers/{}", target.id), &target.announcement(service));
+        target
+    });
+    let host = start(&store);
+    host.await_ready();
+    Setup { host, shard, desk, _store: store, _alone: alone }
+}
+
+fn setup() -> Setup {
+    setup_with(Host::start)
+}
+
+/// Head of a request, with these further lines.
+fn head(start: &str, id: &str, lines: &str) -> String {
+    format!(
+        "{start} HTTP/1.1\r\nHost: find.example\r\nAttempt-Id: {id}\r\n\
+         Time-Budget: {NO_LIMIT_MS}\r\n{lines}\r\n"
+    )
+}
+
+fn announce(n: usize, stream: &mut TcpStream, size: usize) -> io::Result<()> {
+    let lines = format!("Content-Length: {size}\r\n");
+    stream.write_all(head("POST /book/x", &format!("crowd-{n}"), &lines).as_bytes())
+}
+
+fn announce_chunks(n: usize, stream: &mut TcpStream) -> io::Result<()> {
+    let lines = "Transfer-Encoding: chunked\r\n";
+    stream.write_all(head("POST /book/x", &format!("crowd-{n}"), lines).as_bytes())
+}
+
+#[test]
+fn crowd_of_whole_bodies_that_lack_their_end() {
+    let setup = setup();
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, BODY_LIMIT)?;
+        send_bytes(stream, BODY_LIMIT - 1, BODY_LIMIT)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_bodies_in_pieces_that_lack_their_end() {
+    let setup = setup();
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, BODY_LIMIT)?;
+        send_bytes(stream, BODY_LIMIT - 1, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_bodies_in_large_chunks_that_lack_their_end() {
+    let setup = setup();
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce_chunks(n, stream)?;
+        send_chunks(stream, BODY_LIMIT, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_bodies_in_small_chunks_that_lack_their_end() {
+    let setup = setup();
+
+    let _crowd = setup.gather(SMALL_CHUNK_CLIENTS, |n, stream| {
+        announce_chunks(n, stream)?;
+        send_chunks(stream, BODY_LIMIT, SMALL_CHUNK)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_announced_bodies_over_the_limit() {
+    let setup = setup();
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, 16 * BODY_LIMIT)?;
+        send_bytes(stream, 2 * BODY_LIMIT, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_unannounced_bodies_over_the_limit() {
+    let setup = setup();
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce_chunks(n, stream)?;
+        send_chunks(stream, 2 * BODY_LIMIT, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+/// The target does not answer, so that bodies that have been passed on stay in memory.
+#[test]
+fn crowd_of_complete_bodies_that_wait_for_their_target() {
+    let setup = setup();
+    setup.desk.set_behaviour(TargetBehaviour::Hang);
+
+    let _crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, BODY_LIMIT)?;
+        send_bytes(stream, BODY_LIMIT, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_heads_that_lack_their_end() {
+    let setup = setup();
+
+    let _crowd = setup.gather(HEADS, |n, stream| {
+        let head = head("GET /book/x", &format!("crowd-{n}"), "X-Long: ");
+        stream.write_all(head.trim_end().as_bytes())?;
+        send_bytes(stream, HEAD_LIMIT - 1024, PIECE)
+    });
+
+    setup.assert_sound();
+}
+
+#[test]
+fn crowd_of_idle_connections() {
+    let setup = setup_with(|store| Host::start_limited(store, DESCRIPTORS));
+
+    let _crowd = Crowd::connect(setup.host.callers, IDLE_CLIENTS);
+
+    assert_eq!(setup.ask(), Some(200), "an ordinary query");
+    let open = setup.process().descriptors();
+    assert!(open <= DESCRIPTORS - FREE_DESCRIPTORS, "{open} of {DESCRIPTORS} descriptors open");
+    setup.assert_sound();
+}
+
+/// Each client takes the beginning of its answer, so that the host has read all of it.
+#[test]
+fn crowd_of_clients_that_do_not_take_their_answer() {
+    let setup = setup();
+    let answer = format!("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: {LARGE_ANSWER}\r\n");
+    let answer = [format!("{answer}\r\n").as_bytes(), &vec![b'x'; LARGE_ANSWER]].concat();
+    setup.desk.set_reply(Some(&answer));
+
+    let mut crowd = setup.gather(LAZY_CLIENTS, |_, _| Ok(()));
+    for stream in &mut crowd.streams {
+        let request = head("GET /read/x", "lazy", "");
+        // A process may close the connection of a client that takes nothing.
+        let _ = stream.write_all(request.as_bytes()).and_then(|()| take_some(stream));
+    }
+
+    setup.assert_sound();
+}
+
+/// A refusal states that nothing has run, and when to come back.
+#[test]
+fn crowd_reads_true_refusals() {
+    let setup = setup();
+
+    let crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, BODY_LIMIT)?;
+        send_bytes(stream, BODY_LIMIT - 1, PIECE)
+    });
+
+    setup.process().await_idle();
+    let refused: Vec<_> = crowd.streams.iter().filter(|s| has_input(s)).collect();
+    assert!(!refused.is_empty(), "nobody was refused");
+    for stream in refused {
+        let (status, head) = read_head(stream).unwrap();
+        assert!(status == 503 && head.contains("\r\nretry-after: "), "{head:?}");
+    }
+    assert_eq!(setup.ids_at_desk(), [""; 0], "requests that ran");
+}
+
+#[test]
+fn client_that_sends_far_over_the_limit_reads_the_refusal() {
+    let setup = setup();
+
+    for announced in [true, false] {
+        let mut stream = connect(setup.host.callers).unwrap();
+        if announced {
+            announce(1, &mut stream, 16 * BODY_LIMIT).unwrap();
+            // The process may stop reading before the end.
+            let _ = send_bytes(&mut stream, 2 * BODY_LIMIT, PIECE);
+        } else {
+            announce_chunks(1, &mut stream).unwrap();
+            let _ = send_chunks(&mut stream, 2 * BODY_LIMIT, PIECE);
+        }
+
+        assert_eq!(read_head(&stream).map(|(s, _)| s), Some(413), "announced: {announced}");
+    }
+    assert_eq!(setup.ids_at_desk(), [""; 0], "requests that ran");
+}
+
+#[test]
+fn request_inside_the_limits_is_served_in_calm() {
+    let setup = setup();
+    let mut whole = connect(setup.host.callers).unwrap();
+    let mut chunked = connect(setup.host.callers).unwrap();
+
+    announce(1, &mut whole, BODY_LIMIT).unwrap();
+    send_bytes(&mut whole, BODY_LIMIT, PIECE).unwrap();
+    announce_chunks(2, &mut chunked).unwrap();
+    send_chunks(&mut chunked, PIECE, 1).unwrap();
+    chunked.write_all(b"0\r\n\r\n").unwrap();
+
+    for stream in [whole, chunked] {
+        assert_eq!(read_head(&stream).map(|(s, _)| s), Some(200));
+    }
+    let sizes: Vec<usize> = setup.desk.requests().iter().map(|m| m.body.len()).collect();
+    assert_eq!((sizes.len(), sizes.iter().max()), (2, Some(&BODY_LIMIT)));
+    assert!(setup.shard.requests().is_empty());
+}
--- a/crates/sapphirerack/tests/platform_support/host.rs
+++ b/crates/sapphirerack/tests/platform_support/host.rs
@@ -11,6 +11,8 @@
 use super::store::Store;
 use super::{DEFAULT_ATTEMPT, lock_sockets, unused_address, wait_until};
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
+
 /// Time budget of requests, and the one for tests that must not reach it.
 const DEFAULT_BUDGET_MS: u32 = 1_500;
 const LONG_BUDGET_MS: u32 = 30_000;
@@ -70,6 +72,15 @@
         Self { callers, ready, settings: path, child }
     }
 
+    /// As [`Host::start`], for a process that may open this many descriptors.
+    pub fn start_limited(store: &Store, descriptors: usize) -> Self {
+        let mut host = Self::start(store);
+        let _ = host.child.kill();
+        let _ = host.child.wait();
+        host.child = spawn_limited(&host.settings, descriptors);
+        host
+    }
+
     /// Waits for the process to exit and starts it again.
     pub fn restart(&mut self, out: Stdio) {
         let _ = self.child.wait();
@@ -147,6 +158,11 @@
         assert!(kill.wait().unwrap().success());
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Most memory that the process has taken so far, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -175,11 +191,16 @@
 }
 
 fn spawn(settings: &Path, out: Stdio) -> Child {
+    let mut program = Command::new(PROGRAM);
+    program.arg("forward").env("SAPPHIRERACK_SETTINGS", settings).stdout(out);
+    let _sockets = lock_sockets();
+    program.spawn().unwrap()
+}
+
+fn spawn_limited(settings: &Path, descriptors: usize) -> Child {
+    let script = format!("ulimit -n {descriptors} && exec {PROGRAM} forward");
+    let mut shell = Command::new("sh");
+    shell.args(["-c", &script]).env("SAPPHIRERACK_SETTINGS", settings).stdout(Stdio::null());
     let _sockets = lock_sockets();
-    Command::new(env!("CARGO_BIN_EXE_sapphirerack"))
-        .arg("forward")
-        .env("SAPPHIRERACK_SETTINGS", settings)
-        .stdout(out)
-        .spawn()
-        .unwrap()
+    shell.spawn().unwrap()
 }
