Bound what all callers of "serve" hold together

What callers saw: a process that ran out of memory took every request with it.

Cause: each body, head and answer is bounded, their sum is not: 1,024 connections of 64 KiB bodies (the default), 417 KiB heads (the HTTP library's limit) and answers that nobody takes. The bound on connections let new ones wait until old ones ended, so that idle ones locked ordinary callers out.

Change: policy::clients counts what each connection holds (its buffers, heads, bodies, answers not yet written) and decides who goes when the sum reaches the capacity: the one that holds most and moves least. http::Quota applies it. A body that is being sent gets 503 with Retry-After, other connections are closed, requests that were read whole stay. Bytes received and not read are bounded by the receive buffer. A refusal comes at once, and what the client still sends is dropped after it, so that it can be read. A client that takes nothing of an answer for 10 s is closed. A body is taken over without a copy. New settings limits.memory (64 MiB) and limits.connections (896, so that a process with the customary 1,024 descriptors has some left; half of its limit at most).

--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -93,7 +93,7 @@
             log_rejected(host, &head, 413, "body too large");
             return empty(413);
         }
-        Err(BodyError::Broken) => {
+        Err(BodyError::Broken | BodyError::NoMemory) => {
             log_rejected(host, &head, 400, "body broken");
             return empty(400);
         }
--- a/crates/host/src/entry.rs
+++ b/crates/host/src/entry.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::{Name, Span};
-use sapphirerack_http::{Config, Method, Request, Response, Server};
+use sapphirerack_http::{Capacity, Config, Method, Request, Response, Server, max_connections};
 use serde::Serialize;
 use serde_json::value::RawValue;
 
@@ -72,6 +72,10 @@
             workers: self.limits.requests,
             queue: self.limits.requests,
             body: self.limits.body,
+            capacity: Capacity {
+                memory: self.limits.memory,
+                connections: self.limits.connections.min(max_connections()),
+            },
             // An earlier attempt with the same key may have run.
             not_run: |path| !path.starts_with(BOOK_PREFIX),
             ..Config::new(address)
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -87,6 +87,10 @@
     pub body: usize,
     /// Longest request id, route or key, in bytes.
     pub header: usize,
+    /// Memory for what all callers together send and have not taken, in bytes.
+    pub memory: usize,
+    /// Open connections of callers; at most half of the descriptors that the process may open.
+    pub connections: usize,
     /// Longest timeout that a caller may ask for.
     #[serde(with = "humantime_serde")]
     pub timeout: Duration,
@@ -94,7 +98,14 @@
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { requests: 128, body: 64 << 10, header: 256, timeout: Duration::from_secs(10) }
+        Self {
+            requests: 128,
+            body: 64 << 10,
+            header: 256,
+            memory: 64 << 20,
+            connections: 896,
+            timeout: Duration::from_secs(10),
+        }
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,8 +1,8 @@
 //! HTTP server with synchronous handlers and bounded resources.
 //!
 //! One thread does the I/O of all connections through `hyper`; a fixed pool of worker threads runs
-//! the handler. Connections, queued requests, body size and the time to receive a request are
-//! limited. A request that finds the queue full is refused at once, and reported as not run unless
+//! the handler. Connections, queued requests, body size, the time to receive a request and the memory
+//! for all clients together are limited. A request that finds the queue full is refused at once, and reported as not run unless
 //! [`Config::not_run`] excludes its path. Shutdown is graceful: the server stops accepting and
 //! completes the requests in flight.
 //!
@@ -21,6 +21,9 @@
 //! # Modules
 //!
 //! - `body`: reading of request bodies
+//! - `descriptors`: how many connections the descriptors of a process allow
+//! - `quota`: the bound of what clients hold, and the part of each connection
+//! - `stream`: connection of a client
 //! - `config`: address and limits of a server
 //! - `message`: requests and responses
 //! - `server`: the server
@@ -28,14 +31,21 @@
 
 mod body;
 mod config;
+mod descriptors;
 mod error;
 mod message;
+mod quota;
 mod server;
+mod stream;
 
 pub use hyper::Method;
+pub use sapphirerack_policy::clients::Capacity;
 
 pub use crate::body::{BodyError, read_body};
 pub use crate::config::Config;
+pub use crate::descriptors::{connections_of, max_connections};
 pub use crate::error::{Error, Result};
 pub use crate::message::{Request, Response};
+pub use crate::quota::{Arrival, Charge, Client, Quota};
 pub use crate::server::{Server, serve};
+pub use crate::stream::{ClientStream, Timeouts, limit_buffers};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -16,20 +16,28 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use sapphirerack_policy::SystemClock;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
-use crate::body::read_body;
-use crate::{Config, Error, Request, Response, Result};
+use crate::{
+    Arrival, BodyError, Charge, Client, ClientStream, Config, Error, Quota, Request, Response,
+    Result, Timeouts, limit_buffers,
+};
 
 /// Delay before the next accept after an error such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Seconds after which a client may come back that was refused for lack of memory.
+const RETRY_AFTER: &str = "1";
+
 /// A request queued for a worker.
 struct Job {
     request: Request,
     reply: flume::Sender<Response>,
+    /// Memory of the request, which counts until the handler has returned.
+    _charges: [Charge; 2],
 }
 
 /// A running server; dropping it shuts it down without a grace period.
@@ -66,13 +74,15 @@
     let listener = net::TcpListener::bind(bind_address).map_err(error_at("listen"))?;
     let address = listener.local_addr().map_err(error_at("listen"))?;
     listener.set_nonblocking(true).map_err(error_at("listen"))?;
+    limit_buffers(&listener);
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(error_at("start runtime"))?;
     let (jobs, queue) = flume::bounded(config.queue);
     start_workers(config.workers, &queue, handler).map_err(error_at("start worker"))?;
     let (stop, stopping) = watch::channel(None);
     let (finished, done) = flume::bounded(1);
-    let acceptor = Acceptor { config, jobs, stopping };
+    let quota = Quota::new(config.capacity, Arc::new(SystemClock));
+    let acceptor = Acceptor { config, quota, jobs, stopping };
     let run = move || run(&runtime, acceptor, listener, &finished);
     let thread = thread::Builder::new().name("http".into()).spawn(run);
     thread.map_err(error_at("start thread"))?;
@@ -89,8 +99,9 @@
         let (queue, handler) = (queue.clone(), handler.clone());
         let run = move || {
             for job in queue {
+                let response = run_handler(&*handler, job.request);
                 // The connection may have closed in the meantime.
-                let _ = job.reply.send(run_handler(&*handler, job.request));
+                let _ = job.reply.send(response);
             }
         };
         thread::Builder::new().name("http-worker".into()).spawn(run)?;
@@ -129,6 +140,7 @@
 /// Accepts connections and passes their requests to the workers.
 struct Acceptor {
     config: Config,
+    quota: Quota,
     jobs: flume::Sender<Job>,
     stopping: watch::Receiver<Option<Duration>>,
 }
@@ -136,28 +148,14 @@
 impl Acceptor {
     /// Accepts connections until shutdown; true if all of them ended within its limit.
     async fn accept(self: Arc<Self>, listener: TcpListener) -> bool {
-        let permits = Arc::new(Semaphore::new(self.config.connections));
         let graceful = GracefulShutdown::new();
         let mut stopping = self.stopping.clone();
-        loop {
-            let next = async {
-                let permit = permits.clone().acquire_owned().await;
-                (listener.accept().await, permit)
-            };
-            let (accepted, permit) = match unless_stopped(next, stopping.changed()).await {
-                Some(next) => next,
-                None => break,
-            };
+        while let Some(accepted) = unless_stopped(listener.accept(), stopping.changed()).await {
             match accepted {
                 Ok((stream, _)) => {
-                    let connection = self.clone().connection(stream);
-                    let connection = graceful.watch(connection);
-                    tokio::spawn(async move {
-                        if let Err(e) = connection.await {
-                            log::debug!("step=connection error={e}");
-                        }
-                        drop(permit);
-                    });
+                    self.spawn(stream, &graceful);
+                    // A connection that has to go for it closes first.
+                    tokio::task::yield_now().await;
                 }
                 Err(e) => {
                     log::warn!("step=accept error={e}");
@@ -167,56 +165,77 @@
         }
         // Closing the listener resets the connections in its accept queue, so serve them first.
         while let Some((stream, _)) = accept_queued(&listener).await {
-            if let Ok(permit) = permits.clone().try_acquire_owned() {
-                let connection = graceful.watch(self.clone().connection(stream));
-                tokio::spawn(async move {
-                    // A connection error affects only its peer.
-                    let _ = connection.await;
-                    drop(permit);
-                });
-            }
+            self.spawn(stream, &graceful);
         }
         drop(listener);
         let limit = stopping.borrow().unwrap_or_default();
         tokio::time::timeout(limit, graceful.shutdown()).await.is_ok()
     }
 
+    /// Serves a connection, unless there are too many.
+    fn spawn(self: &Arc<Self>, stream: TcpStream, graceful: &GracefulShutdown) {
+        let Some(client) = self.quota.open() else {
+            log::debug!("step=accept error=\"too many connections\"");
+            return;
+        };
+        let connection = graceful.watch(self.clone().connection(stream, client.clone()));
+        tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                () = client.evicted() => log::debug!("step=connection error=evicted"),
+                served = connection => if let Err(e) = served {
+                    log::debug!("step=connection error={e}");
+                }
+            }
+        });
+    }
+
     fn connection(
         self: Arc<Self>,
         stream: TcpStream,
+        client: Arc<Client>,
     ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> {
-        // Nagle's algorithm would hold the last segment of a response until a delayed ACK arrives.
-        let _ = stream.set_nodelay(true);
-        let read_timeout = self.config.read_timeout;
-        let service = service_fn(move |request| self.clone().respond(request));
+        let Config { head, read_timeout, .. } = self.config;
+        let timeouts = Timeouts { head: read_timeout, write: read_timeout };
+        let stream = ClientStream::new(stream, client.clone(), timeouts);
+        let service = service_fn(move |request| self.clone().respond(request, client.clone()));
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(read_timeout);
+        builder.timer(TokioTimer::new()).header_read_timeout(read_timeout).max_buf_size(head);
         builder.serve_connection(TokioIo::new(stream), service)
     }
 
     async fn respond(
         self: Arc<Self>,
         request: hyper::Request<Incoming>,
+        client: Arc<Client>,
     ) -> std::result::Result<hyper::Response<Full<Bytes>>, Infallible> {
-        let response = match self.read(request).await {
-            Ok(request) => self.dispatch(request).await,
-            Err(refusal) => refusal,
+        let mut arrival = client.begin(request.body());
+        let response = match self.read(request, &mut arrival).await {
+            Ok(request) => self.dispatch(request, &mut arrival).await,
+            Err(refusal) => refusal.with_header("connection", "close"),
         };
-        Ok(encode(response))
+        Ok(encode(response, &client))
     }
 
     async fn read(
         &self,
         request: hyper::Request<Incoming>,
+        arrival: &mut Arrival,
     ) -> std::result::Result<Request, Response> {
         let received = Instant::now();
         let (head, body) = request.into_parts();
         let not_run = (self.config.not_run)(head.uri.path());
-        let body = read_body(body, self.config.body);
+        let body = arrival.read(body, self.config.body);
+        let refuse = |status, error| Err(Response::refuse(status, error, not_run));
         let body = match tokio::time::timeout(self.config.read_timeout, body).await {
-            Ok(Ok(body)) => body.to_vec(),
-            Ok(Err(_)) => return Err(Response::refuse(413, "body too large or cut off", not_run)),
-            Err(_) => return Err(Response::refuse(408, "body came too slowly", not_run)),
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::NoMemory)) => {
+                return refuse(503, "too many bytes in hand").map_err(retry_later);
+            }
+            Ok(Err(BodyError::TooLarge | BodyError::Broken)) => {
+                return refuse(413, "body too large or cut off");
+            }
+            Err(_) => return refuse(408, "body came too slowly"),
         };
         Ok(Request {
             method: head.method,
@@ -228,10 +247,11 @@
         })
     }
 
-    async fn dispatch(&self, request: Request) -> Response {
+    async fn dispatch(&self, request: Request, arrival: &mut Arrival) -> Response {
         let (reply, response) = flume::bounded(1);
         let not_run = (self.config.not_run)(&request.path);
-        if self.jobs.try_send(Job { request, reply }).is_err() {
+        let job = Job { request, reply, _charges: arrival.take_charges() };
+        if self.jobs.try_send(job).is_err() {
             return Response::refuse(503, "too many requests in hand", not_run);
         }
         let lost = |_| Response::refuse(500, "internal error", false);
@@ -239,6 +259,11 @@
     }
 }
 
+/// A refusal with the time after which to come back.
+fn retry_later(refusal: Response) -> Response {
+    refusal.with_header("retry-after", RETRY_AFTER)
+}
+
 /// Next connection in the accept queue; `None` if it is empty or the accept fails.
 async fn accept_queued(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
     std::future::poll_fn(|cx| match listener.poll_accept(cx) {
@@ -261,8 +286,9 @@
     .await
 }
 
-fn encode(response: Response) -> hyper::Response<Full<Bytes>> {
-    let mut encoded = hyper::Response::new(Full::new(Bytes::from(response.body)));
+fn encode(response: Response, client: &Client) -> hyper::Response<Full<Bytes>> {
+    let body = client.hold(Bytes::from(response.body));
+    let mut encoded = hyper::Response::new(Full::new(body));
     let status = hyper::StatusCode::from_u16(response.status);
     *encoded.status_mut() = status.unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
     for (name, value) in response.headers {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use sapphirerack_http::{Config, Response, Server, serve};
+use sapphirerack_http::{Capacity, Config, Response, Server, serve};
 
 fn config() -> Config {
     Config::new("127.0.0.1:0".parse().unwrap())
@@ -159,3 +159,75 @@
     assert_eq!(caller.join().unwrap().as_str().unwrap(), "whole");
     assert!(stopper.join().unwrap(), "connections still open when the stop limit expired");
 }
+
+/// Opens a connection and sends the beginning of a request with a body of this size.
+fn announce(server: &Server, size: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+fn read_all(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+#[test]
+fn body_that_stalls_is_refused_for_one_that_moves() {
+    let capacity = Capacity { memory: 1 << 20, connections: 16 };
+    let server = echo(Config { capacity, ..config() });
+    let size = 600 << 10;
+    let mut stalled = announce(&server, size);
+    stalled.write_all(&vec![b'x'; size - 1]).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+
+    let served = minreq::post(url(&server)).with_body(vec![b'x'; size]).send().unwrap();
+
+    assert_eq!(served.status_code, 200);
+    let refusal = read_all(stalled).to_lowercase();
+    assert!(refusal.starts_with("http/1.1 503 "), "{refusal}");
+    assert!(refusal.contains("\r\nretry-after: ") && refusal.ends_with("\"not_run\":true}"));
+}
+
+#[test]
+fn idle_connection_is_closed_for_a_new_one() {
+    let capacity = Capacity { connections: 2, ..config().capacity };
+    let server = echo(Config { capacity, ..config() });
+    let connect = || TcpStream::connect(server.address()).unwrap();
+    let [mut oldest, _next, mut newest] = [(); 3].map(|()| connect());
+
+    newest.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let mut head = [0; 12];
+    newest.read_exact(&mut head).unwrap();
+
+    assert_eq!(&head, b"HTTP/1.1 200");
+    oldest.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    assert_eq!(oldest.read(&mut head).unwrap(), 0);
+}
+
+#[test]
+fn client_that_takes_nothing_is_disconnected() {
+    const ANSWER: usize = 16 << 20;
+    let read_timeout = Duration::from_millis(200);
+    let config = Config { read_timeout, ..config() };
+    let server = serve(config, |_| Response::text(200, vec![b'x'; ANSWER])).unwrap();
+    let mut stream = announce(&server, 0);
+
+    std::thread::sleep(10 * read_timeout);
+    let mut taken = Vec::new();
+    let _ = stream.read_to_end(&mut taken);
+
+    assert!(taken.len() < ANSWER, "the answer was kept");
+}
+
+#[test]
+fn body_that_is_too_slow_is_refused() {
+    let server = echo(Config { read_timeout: Duration::from_millis(50), ..config() });
+
+    let stream = announce(&server, 10);
+
+    assert!(read_all(stream).starts_with("HTTP/1.1 408 "));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 //! - `ramp`: warm-up of a cold target
 //! - `booking`: keys, records and outcomes of requests that run at most once
 //! - `membership`: heartbeats, failure detection and announced leaving
+//! - `clients`: what the clients of a server may hold together, and which of them goes first
 //! - `roster`, `updates`, `probes`, `contacts`: state of the membership: view, updates to gossip,
 //!   probes, last contacts with data centres
 //! - `event`: events and actions of the owner of a booking partition
@@ -46,6 +47,7 @@
 
 pub mod booking;
 mod budget;
+pub mod clients;
 mod clock;
 mod contacts;
 mod coverage;
