Bound what all callers of "forward" hold together

What callers saw: in a trial of the users a process ran out of memory and ended, with all requests in it.

Cause: each request is bounded by the configuration, the sum over connections is not. Bodies were kept in a buffer that doubles, for as long as their client liked: nothing ended one that stayed just short of its end. A body over the limit was read for eight times the limit before it got 413, and never got it if its client stopped before. The memory for targets' answers counted an answer until it was handed on, not until the caller took it. Connections were accepted until descriptors ran out, those for targets and the store included.

Ruled out: chunk overhead (frames of tiny chunks are copied and dropped; their bodies take what others take).

Change: callers' connections, heads, bodies and answers count against one http::Quota: a third of the machine's memory and half of its descriptors, from the settings machine.memory and machine.descriptors, which the platform's template fills in. The client that holds most and moves least goes: 503 with Retry-After for a body in transit, the end of the connection otherwise. A body has the time of its request to arrive, then 408. A head has HeaderTimeoutMs, which had no effect before. An answer of which nothing is taken for IdleTimeoutMs ends its connection. 413 comes at once, if the length is announced before any of the body is read.

--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -9,6 +9,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use sapphirerack_http::{ClientStream, Timeouts, limit_buffers};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
@@ -26,6 +27,7 @@
 
 /// Accepts connections until the shutdown, then closes them within the grace period.
 pub(crate) async fn accept(host: Rc<Host>, listener: TcpListener) {
+    limit_buffers(&listener);
     let graceful = GracefulShutdown::new();
     let stopped = async {
         host.stopping.notified().await;
@@ -39,7 +41,11 @@
             () = &mut stopped => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&host, stream, &graceful),
+            Ok((stream, _)) => {
+                serve(&host, stream, &graceful);
+                // A connection that has to go for it closes first.
+                tokio::task::yield_now().await;
+            }
             Err(e) => {
                 log::warn!("event=accept_failed error=\"{e}\"");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -62,27 +68,36 @@
     }
 }
 
+/// Serves a connection, unless there are too many.
 fn serve(host: &Rc<Host>, stream: TcpStream, graceful: &GracefulShutdown) {
-    // Without it the last segment of an answer waits for a delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
+    let Some(caller) = host.callers.open() else {
+        host.metrics.count_rejection("too many connections");
+        return;
+    };
     let limits = host.view.borrow().table().configuration().limits.clone();
+    let timeouts = Timeouts { head: limits.header_time, write: limits.idle_time };
+    let stream = ClientStream::new(stream, caller.clone(), timeouts);
     let first = Rc::new(Cell::new(true));
     let service = service_fn({
-        let host = host.clone();
+        let (host, caller) = (host.clone(), caller.clone());
         move |request| {
-            let (host, first) = (host.clone(), first.replace(false));
-            async move { Ok::<_, Infallible>(answer(host, request, first).await) }
+            let (host, caller, first) = (host.clone(), caller.clone(), first.replace(false));
+            async move { Ok::<_, Infallible>(answer(host, caller, request, first).await) }
         }
     });
     let mut builder = http1::Builder::new();
-    // The library has one timeout for idling and for reading a head, so that the configured
-    // `header_time` has no effect.
+    // The library's timeout is for a head that has not begun, too.
     builder.timer(TokioTimer::new()).header_read_timeout(limits.idle_time);
     builder.max_buf_size(limits.header.max(MIN_HEAD_BUFFER));
     let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+    let host = host.clone();
     spawn_local(async move {
-        if let Err(e) = connection.await {
-            log::debug!("event=caller_connection_broken error=\"{e}\"");
+        tokio::select! {
+            biased;
+            () = caller.evicted() => host.metrics.count_rejection("connection evicted"),
+            served = connection => if let Err(e) = served {
+                log::debug!("event=caller_connection_broken error=\"{e}\"");
+            }
         }
     });
 }
--- a/crates/forward/src/client.rs
+++ b/crates/forward/src/client.rs
@@ -253,8 +253,8 @@
 }
 
 /// An answer without body.
-pub(crate) fn empty(status: u16) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+pub(crate) fn empty(status: u16) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
     *response.status_mut() =
         hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
     response
--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -6,6 +6,7 @@
 
 use hyper::header::HeaderValue;
 use sapphirerack_catalogue::{Map, Name};
+use sapphirerack_http::Quota;
 use sapphirerack_policy::direct::{
     Balancer, CONNECTIONS_USED, LatencyEstimator, SharedLimits, SlowReport, Split,
 };
@@ -61,6 +62,8 @@
     pub pool: Pool,
     /// Links to the hosts that gather queries.
     pub links: Links,
+    /// Bound of what callers hold together.
+    pub callers: Quota,
     /// Memory for the answers of targets.
     pub answers: AnswerMemory,
     /// Notified when reports of slow targets should be gossiped without delay.
@@ -88,6 +91,7 @@
         members: Membership,
     ) -> Self {
         let (name, home) = (settings.name.clone(), settings.data_centre.clone());
+        let callers = Quota::new(settings.machine.caller_capacity(), clock.clone());
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -103,6 +107,7 @@
             fleet: Fleet::new(members, name, home),
             pool: Pool::default(),
             links: Links::default(),
+            callers,
             answers: AnswerMemory::default(),
             slow_changed: Notify::new(),
             departed: Notify::new(),
--- a/crates/forward/src/ready.rs
+++ b/crates/forward/src/ready.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::server::conn::http1;
@@ -27,7 +28,7 @@
                     let reply = reply(&host, request.uri().path());
                     async move {
                         drop(request);
-                        Ok::<_, Infallible>(reply)
+                        Ok::<_, Infallible>(reply.map(Full::new))
                     }
                 });
                 spawn_local(async move {
@@ -43,9 +44,9 @@
     }
 }
 
-fn reply(host: &Host, path: &str) -> Response<Full<bytes::Bytes>> {
+fn reply(host: &Host, path: &str) -> Response<Bytes> {
     if path == METRICS_PATH {
-        return Response::new(Full::new(host.metrics.text().into()));
+        return Response::new(host.metrics.text().into());
     }
     empty(if host.phase() == Phase::Serving { 200 } else { 503 })
 }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -1,6 +1,7 @@
 //! A request of a caller, from routing to the answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 use sapphirerack_catalogue::Name;
-use sapphirerack_http::{BodyError, read_body};
+use sapphirerack_http::{Arrival, BodyError, Client};
 use sapphirerack_routes::{Action, Gather, Route};
 
 use crate::ask::{Attempts, send_to_service};
@@ -21,7 +22,7 @@
 use crate::host::{Host, Phase};
 use crate::query::{Gathered, Query, latest_answer};
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Bytes>;
 
 /// Time before the caller's deadline, beyond the network round trip, at which a request is ended.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
@@ -39,20 +40,28 @@
 /// Answers a request; `new_connection` tells whether it is the first one on its connection.
 pub(crate) async fn answer(
     host: Rc<Host>,
+    caller: Arc<Client>,
     request: Request<Incoming>,
     new_connection: bool,
-) -> Reply {
+) -> Response<Full<Bytes>> {
     let start = host.now();
-    let mut reply = respond(&host, request, new_connection, start).await;
+    let mut arrival = caller.begin(request.body());
+    let mut reply = respond(&host, request, &mut arrival, new_connection, start).await;
     if host.phase() == Phase::Leaving {
-        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        close(&mut reply);
     }
-    reply
+    reply.map(|body| Full::new(caller.hold(body)))
+}
+
+/// Asks the caller to close the connection.
+fn close(reply: &mut Reply) {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
 async fn respond(
     host: &Rc<Host>,
     request: Request<Incoming>,
+    arrival: &mut Arrival,
     new_connection: bool,
     start: Instant,
 ) -> Reply {
@@ -78,27 +87,28 @@
         log_rejected(host, &head, 400, "no attempt id");
         return empty(400);
     };
+    let timeout = timeout(host, &head.headers, &route);
     let limit = table.configuration().limits.body;
     let body = tokio::select! {
         biased;
-        body = read_body(body, limit) => body,
+        body = arrival.read(body, limit) => body,
+        () = tokio::time::sleep_until((start + timeout).into()) => {
+            return refuse_body(host, &head, 408, "body too slow");
+        }
         () = host.await_closing() => return refuse_at_stop(host, &head),
     };
     if host.closing().is_some_and(|closing| host.now() + route.aim >= closing) {
         return refuse_at_stop(host, &head);
     }
     let body = match body {
-        Ok(body) => body,
-        Err(BodyError::TooLarge) => {
-            log_rejected(host, &head, 413, "body too large");
-            return empty(413);
-        }
-        Err(BodyError::Broken | BodyError::NoMemory) => {
+        Ok(body) => Bytes::from(body),
+        Err(BodyError::TooLarge) => return refuse_body(host, &head, 413, "body too large"),
+        Err(BodyError::NoMemory) => return refuse_body(host, &head, 503, "no memory for its body"),
+        Err(BodyError::Broken) => {
             log_rejected(host, &head, 400, "body broken");
             return empty(400);
         }
     };
-    let timeout = timeout(host, &head.headers, &route);
     let call = Rc::new(Call {
         method: head.method,
         uri: origin_form(head.uri),
@@ -119,6 +129,17 @@
     reply
 }
 
+/// Refuses a request whose body has not been read.
+fn refuse_body(host: &Host, head: &Parts, status: u16, reason: &'static str) -> Reply {
+    log_rejected(host, head, status, reason);
+    let mut reply = match status {
+        503 => unavailable(random_retry_after()),
+        status => empty(status),
+    };
+    close(&mut reply);
+    reply
+}
+
 /// Refuses a request that comes too late to be answered before the host stops.
 fn refuse_at_stop(host: &Host, head: &Parts) -> Reply {
     log_rejected(host, head, 503, "stopping");
@@ -192,7 +213,7 @@
     match gather_anywhere(host, Query { call, shards, aim, levels }, attempts).await {
         Gathered::Answer { signatures, parts, body } => {
             let names = &host.dialect.headers;
-            let mut reply = Response::new(Full::new(body));
+            let mut reply = Response::new(body);
             let headers = reply.headers_mut();
             headers.insert(names.part_signatures.clone(), signatures);
             let missing = shards.shards.len() - parts;
@@ -224,7 +245,7 @@
 ) -> Reply {
     match outcome {
         Some(Outcome::Answered(answer)) => {
-            let mut reply = Response::new(Full::new(answer.body));
+            let mut reply = Response::new(answer.body);
             *reply.status_mut() = answer.head.status;
             *reply.headers_mut() = end_to_end(&answer.head.headers);
             reply
@@ -247,11 +268,15 @@
     retry_after: Option<Duration>,
     attempts: &Attempts,
 ) -> Reply {
-    let (min, max) = RANDOM_RETRY_AFTER;
-    let random = || min + (max - min).mul_f64(fastrand::f64());
     host.metrics.count_refusal(&call.route.name, reason);
     log_failure(host, call, 503, &format!("not run: {reason}"), attempts);
-    unavailable(retry_after.map_or_else(random, |retry_after| retry_after.max(MIN_RETRY_AFTER)))
+    let retry_after = retry_after.map(|retry_after| retry_after.max(MIN_RETRY_AFTER));
+    unavailable(retry_after.unwrap_or_else(random_retry_after))
+}
+
+fn random_retry_after() -> Duration {
+    let (min, max) = RANDOM_RETRY_AFTER;
+    min + (max - min).mul_f64(fastrand::f64())
 }
 
 fn fail(host: &Host, call: &Call, status: u16, reason: &str, attempts: &Attempts) -> Reply {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
+use sapphirerack_http::{Capacity, connections_of, max_connections};
 use serde::{Deserialize, Serialize};
 
 use crate::{Error, Result};
@@ -115,6 +116,10 @@
     pub cores: f64,
     /// Bandwidth of the network link, in Mbit/s; 0 if not stated.
     pub link: f64,
+    /// Memory that the process may take, in megabytes; 0 if not stated.
+    pub memory: u64,
+    /// Descriptors that the process may open; 0 for the limit of the operating system.
+    pub descriptors: u64,
 }
 
 impl Machine {
@@ -125,8 +130,36 @@
         let link = if self.link > 0.0 { self.link / LINK_PER_CORE } else { processor };
         (processor.min(link) * 1e3) as u32
     }
+
+    /// What callers may hold together.
+    pub(crate) fn caller_capacity(&self) -> Capacity {
+        let memory = match self.memory {
+            0 => DEFAULT_CALLER_MEMORY,
+            memory => memory as usize * MEGABYTE / CALLER_MEMORY_PART,
+        };
+        let connections = match self.descriptors {
+            0 => max_connections(),
+            descriptors => connections_of((descriptors as usize).saturating_sub(FILES)),
+        };
+        Capacity { memory, connections }
+    }
 }
 
+const MEGABYTE: usize = 1_000_000;
+
+/// Part of the process's memory that callers may take: a third.
+const CALLER_MEMORY_PART: usize = 3;
+
+/// Memory that callers may take if that of the process is not stated, in bytes.
+const DEFAULT_CALLER_MEMORY: usize = 64 << 20;
+
+/// Least memory of a process, in megabytes, and least descriptors.
+const MIN_MEMORY: u64 = 32;
+const MIN_DESCRIPTORS: u64 = 256;
+
+/// Descriptors that are reserved for files.
+const FILES: usize = 200;
+
 /// Bandwidth that a core fills with the parts that it gathers, in Mbit/s.
 const LINK_PER_CORE: f64 = 100.0;
 
@@ -161,6 +194,20 @@
     Ok(settings)
 }
 
+/// Checks that what is stated of the machine suffices.
+fn check_machine(machine: &Machine) -> Result<()> {
+    let stated = [
+        ("memory", machine.memory, MIN_MEMORY),
+        ("descriptors", machine.descriptors, MIN_DESCRIPTORS),
+    ];
+    match stated.iter().find(|(_, value, min)| (1..*min).contains(value)) {
+        None => Ok(()),
+        Some((field, value, min)) => {
+            Err(Error::rule(format!("machine.{field}: {value}, expected 0 or at least {min}")))
+        }
+    }
+}
+
 fn check(settings: &Settings) -> Result<()> {
     for (field, value) in [("name", &settings.name), ("data_centre", &settings.data_centre)] {
         if value.is_empty() {
@@ -174,12 +221,13 @@
     if !slack.is_finite() || slack < 0.0 {
         return Err(Error::rule(format!("bounds.slack: {slack}, expected 0 or more")));
     }
-    let Machine { share, cores, link } = settings.machine;
+    let Machine { share, cores, link, .. } = settings.machine;
     for (field, value) in [("share", share), ("cores", cores), ("link", link)] {
         if !value.is_finite() || value < 0.0 {
             return Err(Error::rule(format!("machine.{field}: {value}, expected 0 or more")));
         }
     }
+    check_machine(&settings.machine)?;
     if settings.stop.grace < 2 {
         return Err(Error::rule("stop.grace: expected 2 seconds or more".into()));
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -41,7 +41,7 @@
 pub use hyper::Method;
 pub use sapphirerack_policy::clients::Capacity;
 
-pub use crate::body::{BodyError, read_body};
+pub use crate::body::BodyError;
 pub use crate::config::Config;
 pub use crate::descriptors::{connections_of, max_connections};
 pub use crate::error::{Error, Result};
