Gather queries with large bodies where they arrive

What callers could do: large bodies on a route with shards were passed on to gatherers, in frames of 4 MiB at most, from every host of a fleet. Each host bounds what its own callers hold; a gatherer had no bound for what many hosts pass to it, and its answers to all of them end with it.

Ruled out: a bound at the gatherer, which would have to refuse queries that other hosts hold already.

Change: a query with a body over 16 KiB is gathered by the host that accepted it, with the common part of the limits, as when no gatherer is left. Its parts are not passed to other data centres either.

Test query_with_a_large_body: passed on before (1 more), not now.

Conclusion: of bodies, a gatherer gets 16 KiB a query; the number of queries that many hosts pass to it at a time is bounded by their connections only.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -24,6 +24,9 @@
 /// Connections of this host to each target up to which they are scarce.
 const MAX_IDLE_IF_SCARCE: usize = 2;
 
+/// Largest body of a request that is passed on to other hosts, in bytes.
+const MAX_PASSED_BODY: usize = 16 << 10;
+
 /// A request of a caller, as it is sent to every target.
 pub(crate) struct Call {
     pub route: Arc<Route>,
@@ -40,6 +43,14 @@
     pub deadline: Instant,
 }
 
+impl Call {
+    /// Whether other hosts may take part in the request. What a host holds for its own callers is
+    /// bounded, what several hosts pass to it is not.
+    pub(crate) fn may_be_passed_on(&self) -> bool {
+        self.body.len() <= MAX_PASSED_BODY
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub(crate) enum Outcome {
--- a/crates/forward/src/delegate.rs
+++ b/crates/forward/src/delegate.rs
@@ -33,7 +33,7 @@
     query: Query<'_>,
     attempts: &Attempts,
 ) -> Gathered {
-    if host.fleet.gathers_own_queries() {
+    if host.fleet.gathers_own_queries() || !query.call.may_be_passed_on() {
         return gather(host, query, attempts).await;
     }
     let delegation = Delegation { host, query, tried: Vec::new(), started: 0 };
--- a/crates/forward/src/query.rs
+++ b/crates/forward/src/query.rs
@@ -220,10 +220,11 @@
     }
 }
 
-/// Divides the shards of a query among data centres, if there are gatherers in others.
+/// Divides the shards of a query among data centres, if there are gatherers in others that may take
+/// part.
 fn division(host: &Host, query: &Query<'_>, asked: &[usize]) -> Division {
     let partners = host.fleet.partner_centres();
-    if partners.is_empty() {
+    if partners.is_empty() || !query.call.may_be_passed_on() {
         return Division { own: asked.to_vec(), others: Vec::new() };
     }
     let now = host.now();
--- a/crates/sapphirerack/tests/gatherers.rs
+++ b/crates/sapphirerack/tests/gatherers.rs
@@ -100,6 +100,24 @@
     assert!(forwarded.iter().all(|r| r.header("attempt-id") == Some("attempt-1")));
 }
 
+/// What a host holds for its callers is bounded, what several hosts pass to a gatherer is not.
+#[test]
+fn query_with_a_large_body_is_gathered_where_it_arrived() {
+    let fleet = fleet();
+    let host = &fleet.small[0];
+    let before = delegated(host);
+    let body = "x".repeat(64 << 10);
+
+    let answer = host.send("POST", "/query/large", "attempt-1", &body).unwrap();
+
+    assert_eq!((answer.status(), answer.header("missing-parts")), (200, Some("0")));
+    assert_eq!(delegated(host), before);
+    let requests: Vec<_> = fleet.targets.iter().flat_map(Target::requests).collect();
+    let large: Vec<_> = requests.iter().filter(|r| r.path() == "/query/large").collect();
+    assert_eq!(large.len(), SHARDS.len());
+    assert!(large.iter().all(|r| r.body == body.as_bytes()));
+}
+
 #[test]
 fn killed_gatherer_costs_no_answer() {
     let Fleet { small, mut large, targets: _targets, store: _store, .. } = fleet();
