Bound the connections to the readiness port

What callers saw: 300 idle connections to the port for readiness and metrics took all of 256 descriptors, and an ordinary query got no answer in 30 s.

Cause: that port accepted without a bound, and nothing ended a connection.

Ruled out: the port for other hosts: a connection without a request ends there after 1 s.

Change: 64 connections, 4 MiB and 15 s for a head or an answer, by the same http::Quota; the one idle for longest closes. Client::run ends a connection that has to go, for the three servers that have one.

Conclusion: load balancers and scrapers of metrics need a few connections; clients don't reach the port.

--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -92,12 +92,10 @@
     let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
     let host = host.clone();
     spawn_local(async move {
-        tokio::select! {
-            biased;
-            () = caller.evicted() => host.metrics.count_rejection("connection evicted"),
-            served = connection => if let Err(e) = served {
-                log::debug!("event=caller_connection_broken error=\"{e}\"");
-            }
+        match caller.run(connection).await {
+            Some(Ok(())) => {}
+            Some(Err(e)) => log::debug!("event=caller_connection_broken error=\"{e}\""),
+            None => host.metrics.count_rejection("connection evicted"),
         }
     });
 }
--- a/crates/forward/src/ready.rs
+++ b/crates/forward/src/ready.rs
@@ -2,14 +2,17 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sapphirerack_http::{Capacity, ClientStream, Quota, Timeouts};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::client::empty;
@@ -18,32 +21,43 @@
 /// Path of the metrics; any other path is a readiness probe.
 const METRICS_PATH: &str = "/metrics";
 
+/// What all connections may hold together: those of a platform's load balancers, and of operators.
+const CAPACITY: Capacity = Capacity { memory: 4 << 20, connections: 64 };
+
+/// Time for a head to arrive, for an answer to be taken, and for a connection to be idle.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Serves until the process ends.
 pub(crate) async fn accept(host: Rc<Host>, listener: TcpListener) {
+    let quota = Quota::new(CAPACITY, host.clock.clone());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let host = host.clone();
-                let service = service_fn(move |request| {
-                    let reply = reply(&host, request.uri().path());
-                    async move {
-                        drop(request);
-                        Ok::<_, Infallible>(reply.map(Full::new))
-                    }
-                });
-                spawn_local(async move {
-                    let connection = http1::Builder::new();
-                    let served = connection.serve_connection(TokioIo::new(stream), service).await;
-                    if let Err(e) = served {
-                        log::debug!("event=ready_connection_broken error=\"{e}\"");
-                    }
-                });
-            }
+            Ok((stream, _)) => serve(&host, &quota, stream),
             Err(e) => log::warn!("event=accept_failed error=\"{e}\""),
         }
+        tokio::task::yield_now().await;
     }
 }
 
+fn serve(host: &Rc<Host>, quota: &Quota, stream: TcpStream) {
+    let Some(client) = quota.open() else { return };
+    let host = host.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let reply = reply(&host, request.uri().path()).map(Full::new);
+        async move { Ok::<_, Infallible>(reply) }
+    });
+    let timeouts = Timeouts { head: TIMEOUT, write: TIMEOUT };
+    let stream = ClientStream::new(stream, client.clone(), timeouts);
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(TIMEOUT);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    spawn_local(async move {
+        if let Some(Err(e)) = client.run(connection).await {
+            log::debug!("event=ready_connection_broken error=\"{e}\"");
+        }
+    });
+}
+
 fn reply(host: &Host, path: &str) -> Response<Bytes> {
     if path == METRICS_PATH {
         return Response::new(host.metrics.text().into());
--- a/crates/http/src/quota.rs
+++ b/crates/http/src/quota.rs
@@ -201,9 +201,13 @@
         self.connection.id
     }
 
-    /// Waits until the connection has to be closed.
-    pub async fn evicted(&self) {
-        self.signals.close.notified().await;
+    /// Runs the connection to its end; `None` if it had to go before.
+    pub async fn run<T>(&self, connection: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.signals.close.notified() => None,
+            ended = connection => Some(ended),
+        }
     }
 
     /// Begins a request whose head has been read, and whose body may follow.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -180,12 +180,10 @@
         };
         let connection = graceful.watch(self.clone().connection(stream, client.clone()));
         tokio::spawn(async move {
-            tokio::select! {
-                biased;
-                () = client.evicted() => log::debug!("step=connection error=evicted"),
-                served = connection => if let Err(e) = served {
-                    log::debug!("step=connection error={e}");
-                }
+            match client.run(connection).await {
+                Some(Ok(())) => {}
+                Some(Err(e)) => log::debug!("step=connection error={e}"),
+                None => log::debug!("step=connection error=evicted"),
             }
         });
     }
--- a/crates/sapphirerack/tests/crowds.rs
+++ b/crates/sapphirerack/tests/crowds.rs
@@ -240,6 +240,17 @@
     setup.assert_sound();
 }
 
+#[test]
+fn crowd_of_idle_probes_of_readiness() {
+    let setup = setup_with(|store| Host::start_limited(store, DESCRIPTORS));
+
+    let _crowd = Crowd::connect(setup.host.ready, IDLE_CLIENTS);
+
+    assert_eq!(setup.ask(), Some(200), "an ordinary query");
+    assert!(setup.host.is_ready());
+    setup.assert_sound();
+}
+
 /// Each client takes the beginning of its answer, so that the host has read all of it.
 #[test]
 fn crowd_of_clients_that_do_not_take_their_answer() {
