Wait after a failed accept on every port

Cause: on the ports for readiness and for other hosts an accept that failed, as for lack of descriptors, was tried again at once: the one thread of the process did nothing else but that, and wrote a log line each time.

Ruled out: the callers' port, which waits 50 ms.

Change: the same delay on the other two ports.

Conclusion: a process that has run out of descriptors goes on with what it has.

--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -16,8 +16,8 @@
 use crate::host::Host;
 use crate::request::answer;
 
-/// Delay before the next accept after an error such as too many open files.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay before the next accept after an error such as too many open files, on any port.
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time in which the last answers are written.
 const WRITE_TIME: Duration = Duration::from_millis(300);
--- a/crates/forward/src/peer_calls.rs
+++ b/crates/forward/src/peer_calls.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use crate::caller::ACCEPT_RETRY_DELAY;
 use crate::gather_server;
 use crate::host::Host;
 use crate::{Error, Result};
@@ -68,7 +69,10 @@
                     }
                 });
             }
-            Err(e) => log::warn!("event=accept_failed error=\"{e}\""),
+            Err(e) => {
+                log::warn!("event=accept_failed error=\"{e}\"");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/forward/src/ready.rs
+++ b/crates/forward/src/ready.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use crate::caller::ACCEPT_RETRY_DELAY;
 use crate::client::empty;
 use crate::host::{Host, Phase};
 
@@ -33,7 +34,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => serve(&host, &quota, stream),
-            Err(e) => log::warn!("event=accept_failed error=\"{e}\""),
+            Err(e) => {
+                log::warn!("event=accept_failed error=\"{e}\"");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
         tokio::task::yield_now().await;
     }
