Show what a process holds unread of a crowd

Cause: what a client sends behind a request that waits stays in the receive buffer of its connection. A body before it had let that buffer grow to megabytes; on the users' machines these bytes count as the process's memory.

Ruled out: what the process itself reads ahead, one piece of 16 KiB at most.

Change: test crowd_that_sends_on_behind_requests: 96 clients send a body of 4 MiB, then a request whose target does not answer, then 8 MiB more; memory and unread bytes together stay within the smallest machine.

--- a/crates/sapphirerack/tests/crowd_support/mod.rs
+++ b/crates/sapphirerack/tests/crowd_support/mod.rs
@@ -138,6 +138,18 @@
     stream.read_exact(&mut [0; 64])
 }
 
+/// Bytes that were received at an address and not read there.
+pub fn unread(address: SocketAddr) -> usize {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap();
+    let port = format!(":{:04X}", address.port());
+    let received = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (_, received) = fields[4].split_once(':')?;
+        fields[1].ends_with(&port).then(|| usize::from_str_radix(received, 16).unwrap())
+    };
+    table.lines().skip(1).filter_map(received).sum()
+}
+
 /// What the operating system tells of a process.
 #[derive(Clone, Copy)]
 pub struct Process(pub u32);
--- a/crates/sapphirerack/tests/crowds.rs
+++ b/crates/sapphirerack/tests/crowds.rs
@@ -9,10 +9,12 @@
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
 
 use crowd_support::{
-    BODY_LIMIT, CROWD, Crowd, PIECE, Process, SMALL_CHUNK, connect, has_input, lock_crowd,
-    read_head, send_bytes, send_chunks, take_some,
+    BODY_LIMIT, CROWD, Crowd, MACHINE_MEMORY, PIECE, Process, SMALL_CHUNK, connect, has_input,
+    lock_crowd, read_head, send_bytes, send_chunks, take_some, unread,
 };
 use platform_support::{Host, Store, Target, TargetBehaviour, configuration};
 use serde_json::json;
@@ -40,6 +42,9 @@
 const LARGE_ANSWER: usize = 12 << 20;
 const LAZY_CLIENTS: usize = 40;
 
+/// Time after which a client stops sending to a process that is not meant to read.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 /// A host with a shard and a service of one target each.
 struct Setup {
     host: Host,
@@ -251,6 +256,35 @@
     setup.assert_sound();
 }
 
+/// What comes after a request that waits is not read. The body before it lets the receive buffer of
+/// the connection grow, if nothing bounds it.
+#[test]
+fn crowd_that_sends_on_behind_requests_that_wait() {
+    let setup = setup();
+    let mut crowd = setup.gather(CROWD, |n, stream| {
+        announce(n, stream, BODY_LIMIT)?;
+        send_bytes(stream, BODY_LIMIT, PIECE)?;
+        read_head(stream).map(drop).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    });
+    setup.desk.set_behaviour(TargetBehaviour::Hang);
+
+    thread::scope(|scope| {
+        for stream in &mut crowd.streams {
+            scope.spawn(|| {
+                let waiting = head("GET /read/x", "waiting", "");
+                let _ = stream.write_all(waiting.as_bytes());
+                stream.set_write_timeout(Some(STALL_TIME)).unwrap();
+                // The process takes a part of it.
+                let _ = send_bytes(stream, 2 * BODY_LIMIT, PIECE);
+            });
+        }
+    });
+
+    let held = unread(setup.host.callers) + setup.process().peak_memory();
+    assert!(held < MACHINE_MEMORY, "{} MiB taken, read or not", held >> 20);
+    setup.assert_sound();
+}
+
 /// Each client takes the beginning of its answer, so that the host has read all of it.
 #[test]
 fn crowd_of_clients_that_do_not_take_their_answer() {
