Show what callers hold in the metrics

Cause: an operator saw which requests were refused for lack of memory, not how much of it callers held.

Change: gauges caller_bytes and caller_connections, read when the metrics are; sapphirerack-meters has gauges.

Figures: test metrics_show_what_callers_hold passes; without the gauges there is no such line.

Conclusion: only for forward; serve shows refusals only.

--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -92,6 +92,7 @@
     ) -> Self {
         let (name, home) = (settings.name.clone(), settings.data_centre.clone());
         let callers = Quota::new(settings.machine.caller_capacity(), clock.clone());
+        metrics.show_callers(&callers);
         Self {
             settings: RefCell::new(settings),
             dialect,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -1,8 +1,9 @@
-//! Counters and histograms by route and service, in the Prometheus text format.
+//! Counters, gauges and histograms by route and service, in the Prometheus text format.
 
 use std::time::Duration;
 
 use sapphirerack_catalogue::Name;
+use sapphirerack_http::Quota;
 use sapphirerack_meters::{Counter, Histogram, KeyValue, Meters};
 
 use crate::{Error, Result};
@@ -48,6 +49,14 @@
         })
     }
 
+    /// Shows what the callers of a host hold.
+    pub(crate) fn show_callers(&self, callers: &Quota) {
+        let quota = callers.clone();
+        self.meters.gauge("caller_bytes", move || quota.held() as u64);
+        let quota = callers.clone();
+        self.meters.gauge("caller_connections", move || quota.connections() as u64);
+    }
+
     /// Records the status and latency of an answer to a caller.
     pub(crate) fn record_answer(&self, route: &Name, status: u16, time: Duration) {
         let status = KeyValue::new("status", i64::from(status));
--- a/crates/meters/src/lib.rs
+++ b/crates/meters/src/lib.rs
@@ -1,4 +1,4 @@
-//! Counters and histograms in a registry of their own, exported in the Prometheus text format.
+//! Counters, gauges and histograms in a registry of their own, exported in the Prometheus text format.
 //!
 //! ```
 //! let meters = sapphirerack_meters::Meters::new()?;
@@ -9,7 +9,7 @@
 
 use std::fmt;
 
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{AsyncInstrument, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -62,6 +62,12 @@
         self.meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
     }
 
+    /// A gauge whose value is read when the metrics are.
+    pub fn gauge(&self, name: &'static str, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let observe = move |observer: &dyn AsyncInstrument<u64>| observer.observe(read(), &[]);
+        self.meter.u64_observable_gauge(name).with_callback(observe).build();
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/sapphirerack/tests/crowds.rs
+++ b/crates/sapphirerack/tests/crowds.rs
@@ -16,7 +16,7 @@
     BODY_LIMIT, CROWD, Crowd, MACHINE_MEMORY, PIECE, Process, SMALL_CHUNK, connect, has_input,
     lock_crowd, read_head, send_bytes, send_chunks, take_some, unread,
 };
-use platform_support::{Host, Store, Target, TargetBehaviour, configuration};
+use platform_support::{Host, Store, Target, TargetBehaviour, configuration, wait_until};
 use serde_json::json;
 
 /// Time that the configuration allows a connection to be idle and a request to take; no test lasts
@@ -343,6 +343,25 @@
     assert_eq!(setup.ids_at_desk(), [""; 0], "requests that ran");
 }
 
+#[test]
+fn metrics_show_what_callers_hold() {
+    let setup = setup();
+    let metric = |name: &str| {
+        let mut stream = connect(setup.host.ready).unwrap();
+        stream.write_all(b"GET /metrics HTTP/1.0\r\n\r\n").unwrap();
+        let text = io::read_to_string(stream).unwrap();
+        let line = text.lines().find_map(|l| l.strip_prefix(name).map(str::to_owned));
+        line.and_then(|l| l.rsplit(' ').next()?.parse::<usize>().ok())
+    };
+    let mut stream = connect(setup.host.callers).unwrap();
+    announce(1, &mut stream, BODY_LIMIT).unwrap();
+    send_bytes(&mut stream, BODY_LIMIT / 2, PIECE).unwrap();
+
+    wait_until(|| metric("caller_bytes") >= Some(BODY_LIMIT / 2));
+
+    assert_eq!(metric("caller_connections"), Some(1));
+}
+
 #[test]
 fn request_inside_the_limits_is_served_in_calm() {
     let setup = setup();
