Check the limits on what callers hold

Cause: serve accepted a limit of memory that no body fits in, and no connections at all; forward refused to start on a machine of fewer than 256 descriptors, which may be one to serve on.

Change: limits.memory is 1 MiB and four times limits.body at least, limits.connections 1; machine.memory 16 MB and machine.descriptors 64 at least if stated. Reading a body of forward is a function of its own.

Conclusion: settings that can't serve are refused with their field.

--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -87,28 +87,15 @@
         log_rejected(host, &head, 400, "no attempt id");
         return empty(400);
     };
-    let timeout = timeout(host, &head.headers, &route);
+    let deadline = start + timeout(host, &head.headers, &route);
     let limit = table.configuration().limits.body;
-    let body = tokio::select! {
-        biased;
-        body = arrival.read(body, limit) => body,
-        () = tokio::time::sleep_until((start + timeout).into()) => {
-            return refuse_body(host, &head, 408, "body too slow");
-        }
-        () = host.await_closing() => return refuse_at_stop(host, &head),
+    let body = match read_body(host, &head, arrival.read(body, limit), deadline).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
     };
     if host.closing().is_some_and(|closing| host.now() + route.aim >= closing) {
         return refuse_at_stop(host, &head);
     }
-    let body = match body {
-        Ok(body) => Bytes::from(body),
-        Err(BodyError::TooLarge) => return refuse_body(host, &head, 413, "body too large"),
-        Err(BodyError::NoMemory) => return refuse_body(host, &head, 503, "no memory for its body"),
-        Err(BodyError::Broken) => {
-            log_rejected(host, &head, 400, "body broken");
-            return empty(400);
-        }
-    };
     let call = Rc::new(Call {
         method: head.method,
         uri: origin_form(head.uri),
@@ -116,7 +103,7 @@
         body,
         id,
         start,
-        deadline: start + timeout,
+        deadline,
         route: route.clone(),
     });
     let attempts = Attempts::default();
@@ -129,6 +116,32 @@
     reply
 }
 
+/// Waits for the body of a request until its deadline, or until the host stops.
+///
+/// # Errors
+///
+/// The answer that refuses the request.
+async fn read_body(
+    host: &Host,
+    head: &Parts,
+    body: impl Future<Output = Result<Vec<u8>, BodyError>>,
+    deadline: Instant,
+) -> Result<Bytes, Reply> {
+    let body = tokio::select! {
+        biased;
+        body = body => body,
+        () = tokio::time::sleep_until(deadline.into()) => {
+            return Err(refuse_body(host, head, 408, "body too slow"));
+        }
+        () = host.await_closing() => return Err(refuse_at_stop(host, head)),
+    };
+    body.map(Bytes::from).map_err(|e| match e {
+        BodyError::TooLarge => refuse_body(host, head, 413, "body too large"),
+        BodyError::NoMemory => refuse_body(host, head, 503, "no memory for its body"),
+        BodyError::Broken => refuse_body(host, head, 400, "body broken"),
+    })
+}
+
 /// Refuses a request whose body has not been read.
 fn refuse_body(host: &Host, head: &Parts, status: u16, reason: &'static str) -> Reply {
     log_rejected(host, head, status, reason);
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -135,11 +135,14 @@
     pub(crate) fn caller_capacity(&self) -> Capacity {
         let memory = match self.memory {
             0 => DEFAULT_CALLER_MEMORY,
-            memory => memory as usize * MEGABYTE / CALLER_MEMORY_PART,
+            memory => (memory as usize).saturating_mul(MEGABYTE) / CALLER_MEMORY_PART,
         };
         let connections = match self.descriptors {
             0 => max_connections(),
-            descriptors => connections_of((descriptors as usize).saturating_sub(FILES)),
+            descriptors => {
+                let descriptors = descriptors as usize;
+                connections_of(descriptors - FILES.min(descriptors / 2))
+            }
         };
         Capacity { memory, connections }
     }
@@ -154,10 +157,10 @@
 const DEFAULT_CALLER_MEMORY: usize = 64 << 20;
 
 /// Least memory of a process, in megabytes, and least descriptors.
-const MIN_MEMORY: u64 = 32;
-const MIN_DESCRIPTORS: u64 = 256;
+const MIN_MEMORY: u64 = 16;
+const MIN_DESCRIPTORS: u64 = 64;
 
-/// Descriptors that are reserved for files.
+/// Descriptors that are reserved for files, half of them at most.
 const FILES: usize = 200;
 
 /// Bandwidth that a core fills with the parts that it gathers, in Mbit/s.
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -12,6 +12,9 @@
 /// Shortest gossip interval.
 const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Least memory for what callers hold, in bytes.
+const MIN_MEMORY: usize = 1 << 20;
+
 /// Upper bound of the number of store values that hold one partition's log.
 const MAX_BOOKING_SLOTS: u64 = 1_024;
 
@@ -257,12 +260,22 @@
         return Err(Error::rule("name: empty, expected a unique name".into()));
     }
     let limits = &settings.limits;
-    let fields = [("requests", limits.requests), ("body", limits.body), ("header", limits.header)];
+    let fields = [
+        ("requests", limits.requests),
+        ("body", limits.body),
+        ("header", limits.header),
+        ("connections", limits.connections),
+    ];
     for (field, value) in fields {
         if value == 0 {
             return Err(Error::rule(format!("limits.{field}: 0, expected 1 or more")));
         }
     }
+    if limits.memory < MIN_MEMORY || limits.memory / 4 < limits.body {
+        return Err(Error::rule(format!(
+            "limits.memory: expected {MIN_MEMORY} or more, and 4 times `limits.body`"
+        )));
+    }
     settings.queries.check()?;
     if limits.timeout.is_zero() {
         return Err(Error::rule("limits.timeout: 0, expected a time such as \"10s\"".into()));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -43,8 +43,7 @@
         mut body: Incoming,
         limit: usize,
     ) -> Result<Vec<u8>, BodyError> {
-        // No more than the peer has announced.
-        let limit_announced = body.size_hint().upper().map_or(limit, |size| size as usize);
+        let announced = body.size_hint().upper().map_or(limit, |size| size as usize);
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BodyError::Broken)?;
@@ -55,7 +54,7 @@
             }
             if size > bytes.capacity() {
                 let doubled = (2 * bytes.capacity()).max(FIRST_BUFFER);
-                let capacity = doubled.min(limit_announced.min(limit)).max(size);
+                let capacity = doubled.min(announced).max(size);
                 if !self.charge().grow(capacity - bytes.capacity()).await {
                     return Err(BodyError::NoMemory);
                 }
--- a/crates/sapphirerack/tests/command_line.rs
+++ b/crates/sapphirerack/tests/command_line.rs
@@ -114,6 +114,11 @@
             SETTINGS.replace("\"store\"", "\"limits\": { \"requests\": 0 }, \"store\""),
             "limits.requests: 0, expected",
         ),
+        (
+            "memory.json",
+            SETTINGS.replace("\"store\"", "\"limits\": { \"body\": 20000000 }, \"store\""),
+            "limits.memory: expected",
+        ),
         (
             "level.json",
             SETTINGS.replace("\"store\"", "\"log\": \"loud\", \"store\""),
--- a/crates/sapphirerack/tests/forward_settings.rs
+++ b/crates/sapphirerack/tests/forward_settings.rs
@@ -29,6 +29,8 @@
         ("\"munich-1\"", "\"\"", "name"),
         ("\"extra\": 0.1", "\"extra\": 1.5", "bounds.extra"),
         ("\"grace\": 6", "\"grace\": 1", "stop.grace"),
+        ("\"memory\": 0", "\"memory\": 15", "machine.memory"),
+        ("\"descriptors\": 0", "\"descriptors\": 63", "machine.descriptors"),
         ("\"log\": \"info\"", "\"log\": \"loud\"", "log"),
         ("\"seeds\": []", "\"seedlings\": []", "seedlings"),
     ];
