Set the buffers of connections at their listeners only

Cause: each accepted connection cost two calls to the system for what it inherits from its listener; the listener of the readiness port had no limits.

Conclusion: no change of what is held.

--- a/crates/forward/src/ready.rs
+++ b/crates/forward/src/ready.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sapphirerack_http::{Capacity, ClientStream, Quota, Timeouts};
+use sapphirerack_http::{Capacity, ClientStream, Quota, Timeouts, limit_buffers};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
@@ -30,6 +30,7 @@
 
 /// Serves until the process ends.
 pub(crate) async fn accept(host: Rc<Host>, listener: TcpListener) {
+    limit_buffers(&listener);
     let quota = Quota::new(CAPACITY, host.clock.clone());
     loop {
         match listener.accept().await {
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -69,11 +69,10 @@
 }
 
 impl ClientStream {
-    /// A connection that was accepted.
+    /// A connection that was accepted by a listener whose buffers are limited.
     pub fn new(stream: TcpStream, client: Arc<Client>, timeouts: Timeouts) -> Self {
         // Without it the last segment of an answer waits for a delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        limit_buffers(&stream);
         Self {
             stream: stream.take(0),
             client,
@@ -86,6 +85,7 @@
         }
     }
 
+    /// Records bytes that were moved.
     fn record(&mut self, size: usize) {
         self.moved += size;
         if self.moved >= PROGRESS {
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Records that the client takes nothing.
+    /// Fails once the client has taken nothing for too long.
     fn poll_write_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let time = self.timeouts.write;
         let end = self.write_end.get_or_insert_with(|| Box::pin(sleep(time)));
@@ -125,6 +125,7 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Records what came of a write.
     fn written(
         &mut self,
         cx: &mut Context<'_>,
@@ -161,10 +162,10 @@
     }
 }
 
-/// Limits the buffers of a connection, or of those that a listener accepts.
-pub fn limit_buffers<'a>(socket: impl Into<SockRef<'a>>) {
+/// Limits the buffers of the connections that a listener accepts.
+pub fn limit_buffers<'a>(listener: impl Into<SockRef<'a>>) {
     // Errors are ignored: the system then uses its own limits.
-    let socket = socket.into();
+    let socket = listener.into();
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
     let _ = socket.set_send_buffer_size(SEND_BUFFER);
 }
