Name the bodies that crowds send

Cause: the tests of forward and serve wrote out the same ways to send a body.

Change: crowd_support::Body says what is announced and sent; crowds, sizes and bounds as they were.

Conclusion: the same checks in fewer lines.

--- a/crates/sapphirerack/tests/crowd_support/mod.rs
+++ b/crates/sapphirerack/tests/crowd_support/mod.rs
@@ -20,6 +20,9 @@
 /// Clients of a crowd; what they send takes more than twice the machine's memory.
 pub const CROWD: usize = 96;
 
+/// Clients whose bodies come in small chunks; what they send takes more than the machine's memory.
+pub const SMALL_CHUNK_CLIENTS: usize = 48;
+
 /// Size of a large piece or chunk, in bytes.
 pub const PIECE: usize = 64 << 10;
 
@@ -86,6 +89,37 @@
     Ok(stream)
 }
 
+/// A body of which a client sends a part.
+#[derive(Clone, Copy)]
+pub enum Body {
+    /// Announced with a size, sent in pieces of this size.
+    Announced { size: usize, sent: usize, piece: usize },
+    /// Sent in chunks of this size, without the last chunk.
+    Chunked { sent: usize, chunk: usize },
+}
+
+impl Body {
+    /// A body of the largest size allowed that lacks its last byte.
+    pub fn short(piece: usize) -> Self {
+        Self::Announced { size: BODY_LIMIT, sent: BODY_LIMIT - 1, piece }
+    }
+
+    /// Sends a request with the body; `head` adds a header line to the head.
+    pub fn send(self, stream: &mut TcpStream, head: impl Fn(&str) -> String) -> io::Result<()> {
+        match self {
+            Self::Announced { size, sent, piece } => {
+                let line = format!("Content-Length: {size}\r\n");
+                stream.write_all(head(&line).as_bytes())?;
+                send_bytes(stream, sent, piece)
+            }
+            Self::Chunked { sent, chunk } => {
+                stream.write_all(head("Transfer-Encoding: chunked\r\n").as_bytes())?;
+                send_chunks(stream, sent, chunk)
+            }
+        }
+    }
+}
+
 /// Sends `size` bytes in pieces of `piece` bytes.
 pub fn send_bytes(stream: &mut TcpStream, size: usize, piece: usize) -> io::Result<()> {
     let bytes = vec![b'x'; piece];
--- a/crates/sapphirerack/tests/crowds.rs
+++ b/crates/sapphirerack/tests/crowds.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use crowd_support::{
-    BODY_LIMIT, CROWD, Crowd, MACHINE_MEMORY, PIECE, Process, SMALL_CHUNK, connect, has_input,
-    lock_crowd, read_head, send_bytes, send_chunks, take_some, unread,
+    BODY_LIMIT, Body, CROWD, Crowd, MACHINE_MEMORY, PIECE, Process, SMALL_CHUNK,
+    SMALL_CHUNK_CLIENTS, connect, has_input, lock_crowd, read_head, send_bytes, take_some, unread,
 };
 use platform_support::{Host, Store, Target, TargetBehaviour, configuration, wait_until};
 use serde_json::json;
@@ -26,9 +26,6 @@
 /// Largest head that the settings of the tests allow, in bytes.
 const HEAD_LIMIT: usize = 1 << 20;
 
-/// Clients whose bodies come in small chunks; what they send takes more than the machine's memory.
-const SMALL_CHUNK_CLIENTS: usize = 48;
-
 /// Clients with a head each; what they send takes more than the machine's memory.
 const HEADS: usize = 256;
 
@@ -42,6 +39,13 @@
 const LARGE_ANSWER: usize = 12 << 20;
 const LAZY_CLIENTS: usize = 40;
 
+const COMPLETE: Body = Body::Announced { size: BODY_LIMIT, sent: BODY_LIMIT, piece: PIECE };
+
+/// Bodies far over the limit.
+const ANNOUNCED_OVER: Body =
+    Body::Announced { size: 16 * BODY_LIMIT, sent: 2 * BODY_LIMIT, piece: PIECE };
+const UNANNOUNCED_OVER: Body = Body::Chunked { sent: 2 * BODY_LIMIT, chunk: PIECE };
+
 /// Time after which a client stops sending to a process that is not meant to read.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
@@ -67,6 +71,11 @@
         Crowd::gather(self.host.callers, count, send)
     }
 
+    /// A crowd whose bodies go to the service.
+    fn gather_bodies(&self, count: usize, body: Body) -> Crowd {
+        self.gather(count, |n, stream| send_body(n, stream, body))
+    }
+
     /// Asserts that the process, once it is idle, is within its bounds and answers an
     /// ordinary caller.
     fn assert_sound(&self) {
@@ -124,24 +133,16 @@
     )
 }
 
-fn announce(n: usize, stream: &mut TcpStream, size: usize) -> io::Result<()> {
-    let lines = format!("Content-Length: {size}\r\n");
-    stream.write_all(head("POST /book/x", &format!("crowd-{n}"), &lines).as_bytes())
-}
-
-fn announce_chunks(n: usize, stream: &mut TcpStream) -> io::Result<()> {
-    let lines = "Transfer-Encoding: chunked\r\n";
-    stream.write_all(head("POST /book/x", &format!("crowd-{n}"), lines).as_bytes())
+/// Sends a request with a body to the service.
+fn send_body(n: usize, stream: &mut TcpStream, body: Body) -> io::Result<()> {
+    body.send(stream, |line| head("POST /book/x", &format!("crowd-{n}"), line))
 }
 
 #[test]
 fn crowd_of_whole_bodies_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT - 1, BODY_LIMIT)
-    });
+    let _crowd = setup.gather_bodies(CROWD, Body::short(BODY_LIMIT));
 
     setup.assert_sound();
 }
@@ -150,10 +151,7 @@
 fn crowd_of_bodies_in_pieces_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT - 1, PIECE)
-    });
+    let _crowd = setup.gather_bodies(CROWD, Body::short(PIECE));
 
     setup.assert_sound();
 }
@@ -162,10 +160,8 @@
 fn crowd_of_bodies_in_large_chunks_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce_chunks(n, stream)?;
-        send_chunks(stream, BODY_LIMIT, PIECE)
-    });
+    let body = Body::Chunked { sent: BODY_LIMIT, chunk: PIECE };
+    let _crowd = setup.gather_bodies(CROWD, body);
 
     setup.assert_sound();
 }
@@ -174,10 +170,8 @@
 fn crowd_of_bodies_in_small_chunks_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(SMALL_CHUNK_CLIENTS, |n, stream| {
-        announce_chunks(n, stream)?;
-        send_chunks(stream, BODY_LIMIT, SMALL_CHUNK)
-    });
+    let body = Body::Chunked { sent: BODY_LIMIT, chunk: SMALL_CHUNK };
+    let _crowd = setup.gather_bodies(SMALL_CHUNK_CLIENTS, body);
 
     setup.assert_sound();
 }
@@ -186,10 +180,7 @@
 fn crowd_of_announced_bodies_over_the_limit() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, 16 * BODY_LIMIT)?;
-        send_bytes(stream, 2 * BODY_LIMIT, PIECE)
-    });
+    let _crowd = setup.gather_bodies(CROWD, ANNOUNCED_OVER);
 
     setup.assert_sound();
 }
@@ -198,10 +189,7 @@
 fn crowd_of_unannounced_bodies_over_the_limit() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce_chunks(n, stream)?;
-        send_chunks(stream, 2 * BODY_LIMIT, PIECE)
-    });
+    let _crowd = setup.gather_bodies(CROWD, UNANNOUNCED_OVER);
 
     setup.assert_sound();
 }
@@ -212,10 +200,7 @@
     let setup = setup();
     setup.desk.set_behaviour(TargetBehaviour::Hang);
 
-    let _crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT, PIECE)
-    });
+    let _crowd = setup.gather_bodies(CROWD, COMPLETE);
 
     setup.assert_sound();
 }
@@ -262,8 +247,7 @@
 fn crowd_that_sends_on_behind_requests_that_wait() {
     let setup = setup();
     let mut crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT, PIECE)?;
+        send_body(n, stream, COMPLETE)?;
         read_head(stream).map(drop).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     });
     setup.desk.set_behaviour(TargetBehaviour::Hang);
@@ -308,10 +292,7 @@
 fn crowd_reads_true_refusals() {
     let setup = setup();
 
-    let crowd = setup.gather(CROWD, |n, stream| {
-        announce(n, stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT - 1, PIECE)
-    });
+    let crowd = setup.gather_bodies(CROWD, Body::short(PIECE));
 
     setup.process().await_idle();
     let refused: Vec<_> = crowd.streams.iter().filter(|s| has_input(s)).collect();
@@ -327,18 +308,12 @@
 fn client_that_sends_far_over_the_limit_reads_the_refusal() {
     let setup = setup();
 
-    for announced in [true, false] {
+    for (n, body) in [ANNOUNCED_OVER, UNANNOUNCED_OVER].into_iter().enumerate() {
         let mut stream = connect(setup.host.callers).unwrap();
-        if announced {
-            announce(1, &mut stream, 16 * BODY_LIMIT).unwrap();
-            // The process may stop reading before the end.
-            let _ = send_bytes(&mut stream, 2 * BODY_LIMIT, PIECE);
-        } else {
-            announce_chunks(1, &mut stream).unwrap();
-            let _ = send_chunks(&mut stream, 2 * BODY_LIMIT, PIECE);
-        }
+        // The process may stop reading before the end.
+        let _ = send_body(n, &mut stream, body);
 
-        assert_eq!(read_head(&stream).map(|(s, _)| s), Some(413), "announced: {announced}");
+        assert_eq!(read_head(&stream).map(|(s, _)| s), Some(413), "case {n}");
     }
     assert_eq!(setup.ids_at_desk(), [""; 0], "requests that ran");
 }
@@ -354,8 +329,8 @@
         line.and_then(|l| l.rsplit(' ').next()?.parse::<usize>().ok())
     };
     let mut stream = connect(setup.host.callers).unwrap();
-    announce(1, &mut stream, BODY_LIMIT).unwrap();
-    send_bytes(&mut stream, BODY_LIMIT / 2, PIECE).unwrap();
+    let half = Body::Announced { size: BODY_LIMIT, sent: BODY_LIMIT / 2, piece: PIECE };
+    send_body(1, &mut stream, half).unwrap();
 
     wait_until(|| metric("caller_bytes") >= Some(BODY_LIMIT / 2));
 
@@ -368,10 +343,8 @@
     let mut whole = connect(setup.host.callers).unwrap();
     let mut chunked = connect(setup.host.callers).unwrap();
 
-    announce(1, &mut whole, BODY_LIMIT).unwrap();
-    send_bytes(&mut whole, BODY_LIMIT, PIECE).unwrap();
-    announce_chunks(2, &mut chunked).unwrap();
-    send_chunks(&mut chunked, PIECE, 1).unwrap();
+    send_body(1, &mut whole, COMPLETE).unwrap();
+    send_body(2, &mut chunked, Body::Chunked { sent: PIECE, chunk: 1 }).unwrap();
     chunked.write_all(b"0\r\n\r\n").unwrap();
 
     for stream in [whole, chunked] {
--- a/crates/sapphirerack/tests/crowds_serve.rs
+++ b/crates/sapphirerack/tests/crowds_serve.rs
@@ -11,17 +11,14 @@
 use std::time::Duration;
 
 use crowd_support::{
-    BODY_LIMIT, CROWD, Crowd, PIECE, Process, SMALL_CHUNK, connect, has_input, lock_crowd,
-    read_head, send_bytes, send_chunks,
+    BODY_LIMIT, Body, CROWD, Crowd, PIECE, Process, SMALL_CHUNK, SMALL_CHUNK_CLIENTS, connect,
+    has_input, lock_crowd, read_head, send_bytes,
 };
 use sapphirerack_lab::fleet::{Fleet, Plan, Shape};
 use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sapphirerack");
 
-/// Clients whose bodies come in small chunks; what they send takes more than the machine's memory.
-const SMALL_CHUNK_CLIENTS: usize = 48;
-
 /// Clients with a head each, and what each sends of it; in sum more than the machine's memory.
 const HEADS: usize = 600;
 const HEAD_SIZE: usize = 400 << 10;
@@ -49,6 +46,11 @@
         Crowd::gather(self.fleet.hosts[0].callers, count, send)
     }
 
+    /// A crowd that sends queries with bodies.
+    fn gather_bodies(&self, count: usize, body: Body) -> Crowd {
+        self.gather(count, |_, stream| body.send(stream, |line| format!("{SEARCH}{line}\r\n")))
+    }
+
     /// Asserts that the process, once it is idle, is within its bounds and answers an ordinary
     /// caller.
     fn assert_sound(&self) {
@@ -87,22 +89,11 @@
     Setup { fleet, _alone: alone }
 }
 
-fn announce(stream: &mut TcpStream, size: usize) -> io::Result<()> {
-    stream.write_all(format!("{SEARCH}Content-Length: {size}\r\n\r\n").as_bytes())
-}
-
-fn announce_chunks(stream: &mut TcpStream) -> io::Result<()> {
-    stream.write_all(format!("{SEARCH}Transfer-Encoding: chunked\r\n\r\n").as_bytes())
-}
-
 #[test]
 fn serve_crowd_of_bodies_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |_, stream| {
-        announce(stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT - 1, PIECE)
-    });
+    let _crowd = setup.gather_bodies(CROWD, Body::short(PIECE));
 
     setup.assert_sound();
 }
@@ -111,10 +102,8 @@
 fn serve_crowd_of_large_chunks_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |_, stream| {
-        announce_chunks(stream)?;
-        send_chunks(stream, BODY_LIMIT, PIECE)
-    });
+    let body = Body::Chunked { sent: BODY_LIMIT, chunk: PIECE };
+    let _crowd = setup.gather_bodies(CROWD, body);
 
     setup.assert_sound();
 }
@@ -123,10 +112,8 @@
 fn serve_crowd_of_small_chunks_that_lack_their_end() {
     let setup = setup();
 
-    let _crowd = setup.gather(SMALL_CHUNK_CLIENTS, |_, stream| {
-        announce_chunks(stream)?;
-        send_chunks(stream, BODY_LIMIT, SMALL_CHUNK)
-    });
+    let body = Body::Chunked { sent: BODY_LIMIT, chunk: SMALL_CHUNK };
+    let _crowd = setup.gather_bodies(SMALL_CHUNK_CLIENTS, body);
 
     setup.assert_sound();
 }
@@ -135,10 +122,8 @@
 fn serve_crowd_of_bodies_over_the_limit() {
     let setup = setup();
 
-    let _crowd = setup.gather(CROWD, |_, stream| {
-        announce_chunks(stream)?;
-        send_chunks(stream, 2 * BODY_LIMIT, PIECE)
-    });
+    let body = Body::Chunked { sent: 2 * BODY_LIMIT, chunk: PIECE };
+    let _crowd = setup.gather_bodies(CROWD, body);
 
     setup.assert_sound();
 }
@@ -171,10 +156,7 @@
 fn serve_crowd_reads_true_refusals() {
     let setup = setup();
 
-    let crowd = setup.gather(CROWD, |_, stream| {
-        announce(stream, BODY_LIMIT)?;
-        send_bytes(stream, BODY_LIMIT - 1, PIECE)
-    });
+    let crowd = setup.gather_bodies(CROWD, Body::short(PIECE));
 
     setup.process().await_idle();
     let refused: Vec<_> = crowd.streams.iter().filter(|s| has_input(s)).collect();
