Keep the connections of load balancers to the readiness port

Cause: the service did not tell the connection that a request had begun, so that all heads counted as one that never ended, for its time and for its memory.

Ruled out: the callers' port and serve, whose services begin each request.

Change: the service begins requests, and the metrics' text counts until it is taken.

Found in reading the diff.

--- a/crates/forward/src/ready.rs
+++ b/crates/forward/src/ready.rs
@@ -46,13 +46,17 @@
 
 fn serve(host: &Rc<Host>, quota: &Quota, stream: TcpStream) {
     let Some(client) = quota.open() else { return };
-    let host = host.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let reply = reply(&host, request.uri().path()).map(Full::new);
-        async move { Ok::<_, Infallible>(reply) }
-    });
     let timeouts = Timeouts { head: TIMEOUT, write: TIMEOUT };
     let stream = ClientStream::new(stream, client.clone(), timeouts);
+    let service = service_fn({
+        let (host, client) = (host.clone(), client.clone());
+        move |request: Request<Incoming>| {
+            let _arrival = client.begin(request.body());
+            let reply = reply(&host, request.uri().path());
+            let reply = reply.map(|body| Full::new(client.hold(body)));
+            async move { Ok::<_, Infallible>(reply) }
+        }
+    });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(TIMEOUT);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
