Review case 9: hosts that start while the seeds are down overrun cold searchers

Cause: a host that starts learns of others from its seeds only. While these are down, hosts that started together never find each other, and each divides the shared limits by three (Fleet, MIN_HOSTS). Ruled out: the searchers' announcements; with the hosts running on each cold searcher gets 9 requests. No code is fixed.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,8 +8,10 @@
 mod host;
 mod http;
 mod kills;
+mod pages;
 mod record;
 mod searcher;
+mod seeds;
 mod store;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -47,6 +49,8 @@
             "evacuation" => drill::evacuation(&record, is_troubled),
             "route" => drill::route(&record, is_troubled),
             "drain" => drill::drain(&record, is_troubled),
+            "seeds" => seeds::run(&record, is_troubled),
+            "pages" => pages::run(&record, is_troubled),
             "kills" => kills::run(&record, is_troubled),
             _ => Err("no such case".into()),
         };
--- a/review/standins-2/src/searcher.rs
+++ b/review/standins-2/src/searcher.rs
@@ -35,6 +35,10 @@
     loses: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
     requests: AtomicU64,
+    /// Time of the record until which the searcher is cold.
+    cold_until: Mutex<f64>,
+    /// What the last entry said, and its sequence number.
+    entry: Mutex<(String, u64)>,
 }
 
 #[derive(Clone)]
@@ -58,8 +62,22 @@
         work: Duration,
         store: &Store,
         record: &Record,
+    ) -> std::io::Result<Self> {
+        Self::start_cold(id, service, zone, work, 0.0, store, record)
+    }
+
+    /// As [`Searcher::start`], for a searcher that is cold for some seconds.
+    pub fn start_cold(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        cold_s: f64,
+        store: &Store,
+        record: &Record,
     ) -> std::io::Result<Self> {
         let shared = Arc::<Shared>::default();
+        *shared.cold_until.lock().unwrap() = record.now() + cold_s;
         let (own, served, log) = (id.to_owned(), shared.clone(), record.clone());
         let address = http::listen(crate::free_address(), move |stream| {
             serve(&own, work, &served, &log, stream);
@@ -93,14 +111,22 @@
     /// Writes the entry; returns the revision.
     fn register(&self) -> u64 {
         let is_draining = self.shared.is_draining.load(Ordering::SeqCst);
+        let state = if is_draining { "draining" } else { "ready" };
+        let cold = (*self.shared.cold_until.lock().unwrap() - self.record.now()).max(0.0);
+        let cold = (cold * 1e3) as u64;
+        let Self { service, address, zone, born, .. } = self;
         // The entry changes when more than its sequence number changes; the number counts the
         // changes.
-        let (state, sequence) = if is_draining { ("draining", 2) } else { ("ready", 1) };
-        let Self { service, address, zone, born, .. } = self;
+        let mut entry = self.shared.entry.lock().unwrap();
+        let said = format!("{state} {cold}");
+        if entry.0 != said {
+            *entry = (said, entry.1 + 1);
+        }
+        let sequence = entry.1;
         self.store.put(
             &self.key(),
             &format!(
-                r#"{{"Upstream":"{service}","Address":"{address}","Zone":"{zone}","Version":"v1","Slots":4,"State":"{state}","WarmupLeftMs":0,"Seq":{sequence},"born":{born}}}"#
+                r#"{{"Upstream":"{service}","Address":"{address}","Zone":"{zone}","Version":"v1","Slots":4,"State":"{state}","WarmupLeftMs":{cold},"Seq":{sequence},"born":{born}}}"#
             ),
         )
     }
@@ -112,6 +138,13 @@
         self.record.say(&format!("searcher {} is draining, revision {revision}", self.id))
     }
 
+    /// Ends what the searcher says in the store.
+    pub fn leave(&self) {
+        self.shared.is_gone.store(true, Ordering::SeqCst);
+        self.store.remove(&self.key());
+        self.record.line(&format!("searcher {} has left", self.id));
+    }
+
     /// Loses the answers to this percentage of the requests that it runs.
     pub fn lose_answers(&self, percentage: u64) {
         self.shared.loses.store(percentage, Ordering::SeqCst);
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -30,9 +30,17 @@
     era: u64,
     is_away: bool,
     connections: Vec<TcpStream>,
-    calls: u64,
+    /// Changes up to this revision are no longer available.
+    discarded: u64,
+    /// Called once the first page of a listing of the searchers has been read, before it is sent.
+    after_page: Option<Hook>,
 }
 
+type Hook = Box<dyn FnOnce() + Send>;
+
+/// Most items of a page.
+const PAGE: usize = 50;
+
 /// A store that loses nothing that it has acknowledged, but for [`Store::come_back`].
 #[derive(Clone)]
 pub struct Store {
@@ -86,9 +94,12 @@
         self.state.lock().unwrap().content.revision
     }
 
-    /// Calls answered so far.
-    pub fn calls(&self) -> u64 {
-        self.state.lock().unwrap().calls
+    /// Discards the history, and calls `hook` between the first two pages of the next listing of the
+    /// searchers.
+    pub fn discard_history(&self, hook: impl FnOnce() + Send + 'static) {
+        let mut state = self.state.lock().unwrap();
+        state.discarded = state.content.revision;
+        state.after_page = Some(Box::new(hook));
     }
 
     /// A copy of all content.
@@ -109,6 +120,7 @@
     pub fn come_back(&self, copy: Content) {
         let mut state = self.state.lock().unwrap();
         state.content = copy;
+        state.discarded = 0;
         state.era += 1;
         state.is_away = false;
     }
@@ -127,14 +139,19 @@
     }
     let mut reader = BufReader::new(stream);
     while let Some(request) = http::read(&mut reader) {
-        let reply = {
+        let (reply, hook) = {
             let mut state = state.lock().unwrap();
             if state.is_away {
                 return;
             }
-            state.calls += 1;
-            reply(&state, &request)
+            let is_first_page = request.word().starts_with("/kv-range")
+                && request.param("Prefix").as_deref() == Some("servers/")
+                && request.param("after").is_none();
+            (reply(&state, &request), state.after_page.take_if(|_| is_first_page))
         };
+        if let Some(hook) = hook {
+            hook();
+        }
         if out.write_all(&reply).is_err() {
             return;
         }
@@ -150,14 +167,15 @@
         let items = content.items.iter();
         let items = items.filter(|(key, _)| key.starts_with(&prefix) && is_due(key));
         let rows = items.map(|(key, (value, revision))| item(key, value, *revision));
-        let rows = rows.collect::<Vec<_>>().join(",");
+        let rows: Vec<String> = rows.collect();
+        let (rows, more) = (rows[..rows.len().min(PAGE)].join(","), rows.len() > PAGE);
         let revision = content.revision;
-        let body = format!(r#"{{"items":[{rows}],"HasMore":false,"StoreRevision":{revision}}}"#);
+        let body = format!(r#"{{"items":[{rows}],"HasMore":{more},"StoreRevision":{revision}}}"#);
         ("200 OK", body)
     } else {
         let after: u64 = after.and_then(|a| a.parse().ok()).unwrap_or(0);
-        if after > content.revision {
-            // A watch from a revision that it does not have.
+        if after > content.revision || after < state.discarded {
+            // A watch from a revision that it does not have, or has no more.
             ("410 Gone", "{}".to_owned())
         } else {
             let events = content.events.iter();
