--- a/review/standins-2/src/kills.rs
+++ b/review/standins-2/src/kills.rs
@@ -62,7 +62,7 @@
 }
 
 fn lose(searchers: &[(usize, Searcher)], percentage: u64) {
-    searchers.iter().step_by(2).for_each(|(_, s)| s.lose_answers(percentage));
+    searchers.iter().skip(1).step_by(2).for_each(|(_, s)| s.lose_answers(percentage));
 }
 
 /// The hosts of zone c, a third of all, are killed at the same moment and start again.
